--- /dev/null
+++ b/src/router/query_router.cpp
@@ -0,0 +1,670 @@
+// The decisions of a query router, all of them. Interface: query_router.hpp beside this file.
+//
+// The caller makes one QueryRouter for each life of a router and calls round() once a round with all that
+// came in. round() first takes it in (the on_... handlers only note), then decides in this order: pressure
+// and p, answers and early rejections, first leaf calls, further leaf calls. What is decided goes straight
+// into the writer. Nothing is read but the arguments; the same rounds always give the same decisions.
+// docs/design.md says what comes from the design page and when each departure acts; docs/on-call.md explains
+// the log lines.
+
+#include "router/query_router.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <deque>
+#include <numeric>
+#include <random>
+
+#include "router/id_index.hpp"
+
+namespace tealcart {
+namespace {
+
+constexpr Nanos ms = 1'000'000;
+constexpr Nanos second = 1000 * ms;
+constexpr std::uint32_t none = IdIndex::none;
+
+// The design's figures. Pressure share, step sizes and margin are open; these are the page's own values.
+constexpr double pressure_share = 0.05;
+constexpr double p_step = 0.25;  // of k, for a cut and for a climb
+constexpr Nanos cut_every = second;
+constexpr Nanos climb_every = second / 2;
+constexpr double close_weights = 0.05;
+constexpr int widened = 3;
+// Ours.
+constexpr double sum_slack = 2e-5;       // a sum of rounded weights misses its value by less
+constexpr double pass_over = 1.5;        // a replica this many times as slow as the best loses its turn
+constexpr double copy_after = 2.0;       // a leaf call out this many times its expected time may be copied
+constexpr double copy_share = 0.15;      // copies out at a time, of all leaf calls out
+constexpr Nanos first_pause = 250 * ms;  // for a failing node, doubled each time
+constexpr int most_doublings = 5;
+constexpr double cold_use = 0.5;  // of what rule 4 leaves for a cold node
+
+struct Vertical {
+    VerticalTerms terms;
+    bool partial = false;  // may be answered from less than a whole
+    double p = 0, k = 0;   // parts; 0 until the first query
+    Nanos full_span = 0;   // the longest that a client has waited for one try
+};
+
+struct LeafCall {
+    std::uint32_t node = none;
+    Nanos sent_at = 0;
+    Nanos expected = 0;
+    int ahead = 0;  // our leaf calls on the node when it was sent
+    bool out = true, may_have_run = true;
+};
+
+struct Part {
+    std::uint32_t id = 0, query = none, shard = 0;
+    double weight = 0, cost = 1;  // cost against the vertical's usual
+    std::vector<LeafCall> calls;
+    int out = 0;
+    bool planned = false, in = false, lost = false, late = false;
+};
+
+struct Query {
+    std::uint32_t id = 0, ask = 0, vertical = 0;
+    std::vector<std::uint32_t> parts;    // of the step in hand, heaviest first once planned
+    std::vector<std::uint32_t> earlier;  // of the first step, once it is closed
+    Nanos slo_at = 0, end_by = 0;
+    double utility = 1;  // of the stated: less where the tenant is over its share
+    int step = 1;
+    bool fresh = true, whole = false, ended = false, listed = true;
+};
+
+struct TenantShare {
+    double rate = 0, left = 0;
+    Nanos at = 0;
+};
+
+}  // namespace
+
+class QueryRouter::State final : public ArrivalHandler {
+  public:
+    State(const Terms& terms, std::uint64_t seed);
+    void round(Nanos now, Arrivals& arrivals, DecisionWriter& writer);
+
+    void on_nodes(ListKind kind, std::span<const NodeEntry> entries) override;
+    void on_query(const QueryArrival& arrival) override;
+    void on_part(const PartArrival& arrival) override;
+    void on_leaf_end(const LeafEnd& end) override;
+    void on_stream(std::uint32_t) override {}
+    void on_dropped(std::uint32_t query) override;
+    void on_probe_end(std::uint32_t, Outcome, std::span<const float>) override {}
+    void on_timer(std::uint64_t) override { beat_set_ = false; }
+
+  private:
+    std::uint32_t node_index(std::uint32_t id);
+    void fault(std::uint32_t n, Nanos pause);
+    double expected(std::uint32_t n) const;
+    double best_expected(std::uint32_t shard) const;
+    double warmth(std::uint32_t n) const;
+    bool cold_room(std::uint32_t n);
+    std::uint32_t choose(const Part& part);
+    bool send(Part& part);
+    bool budget_left();
+    bool repeat_allowed(const Query& q, const Part& part) const;
+    void keep_pressure();
+    void plan(Query& q);
+    void settle(Query& q);
+    void ask_further(Query& q);
+    void answer(Query& q, bool whole);
+    void give_up(Query& q, Nanos advice);
+    void end(Query& q);
+    void cancel_out(const std::vector<std::uint32_t>& parts);
+    void forget(std::uint32_t i);
+    template <typename... Figures>
+    void log(const char* format, Figures... figures);
+
+    // Derived from what was handed over at start.
+    std::vector<Vertical> verticals_;
+    std::vector<TenantShare> tenants_;
+    double over_share_utility_;
+    int places_, width_, shards_, call_cap_, routers_;
+    bool may_cancel_, copies_, asks_, advises_;
+    Nanos step_, margin_, max_advice_, drain_grace_, ask_within_;
+    double cold_from_, cold_sends_rate_;
+    Nanos cold_, fall_;
+    bool budgeted_;
+    double budget_free_, resend_ratio_;
+    Nanos budget_window_;
+    std::knuth_b chance_;
+
+    Nanos now_ = 0;
+    DecisionWriter* writer_ = nullptr;
+    bool beat_set_ = false;
+    Nanos ask_again_at_ = 0;
+
+    // Nodes, in parallel arrays under the index of their id.
+    IdIndex nodes_;
+    std::vector<std::uint32_t> node_id_, place_;
+    std::vector<char> ready_;
+    std::vector<Nanos> started_at_, heard_at_, paused_until_;
+    std::vector<double> slot_;  // time an own leaf call takes, for each one on the node, itself counted
+    std::vector<int> open_, streak_;
+    std::vector<int> recent_ended_, recent_bad_;  // since the last look at pressure
+    std::vector<std::deque<Nanos>> cold_sent_;
+    std::vector<std::vector<std::uint32_t>> at_place_;
+    std::vector<std::uint32_t> turn_;  // per shard
+    double usual_slot_ = 0, service_ = 0, usual_hint_ = 0;
+    int all_open_ = 0, copies_out_ = 0;
+
+    IdIndex by_ask_, part_ids_;  // queries go under the number that ties their parts to them
+    std::vector<Query> queries_;
+    std::vector<Part> parts_;
+    std::vector<std::uint32_t> live_;  // queries in hand, in the order in which they came
+    std::vector<std::uint32_t> further_;
+    std::deque<Nanos> taken_at_, further_at_;
+
+    Nanos looked_at_ = 0, climbed_at_ = 0;
+    bool pressed_ = false;
+};
+
+QueryRouter::State::State(const Terms& t, std::uint64_t seed)
+    : over_share_utility_(t.over_share_utility),
+      places_(t.places),
+      width_(t.width),
+      shards_(t.shards),
+      call_cap_(t.call_cap),
+      routers_(std::max(1, t.routers)),
+      may_cancel_(t.may_cancel),
+      copies_(t.second_copies),
+      asks_(t.discovery == Discovery::ask),
+      advises_(t.retry_after),
+      step_(t.step),
+      margin_(2 * t.step + 3 * ms),
+      max_advice_(t.max_retry_after),
+      drain_grace_(t.drain_grace),
+      ask_within_(t.ask_within),
+      cold_from_(t.cold_from),
+      cold_sends_rate_(cold_use * t.tip_multiple / routers_),
+      cold_(t.cold),
+      fall_(t.fall),
+      budgeted_(t.budgeted),
+      budget_free_(t.budget_free),
+      resend_ratio_(t.resend_ratio),
+      budget_window_(t.budget_window),
+      chance_(seed),
+      at_place_(t.places),
+      turn_(t.shards) {
+    for (const VerticalTerms& v : t.verticals)
+        verticals_.push_back({v, v.floor < v.need - sum_slack, 0, 0, 0});
+    for (const double rate : t.allowances) tenants_.push_back({rate / routers_, 2 * rate / routers_, 0});
+    for (auto& turn : turn_) turn = static_cast<std::uint32_t>(chance_());
+}
+
+template <typename... Figures>
+void QueryRouter::State::log(const char* format, Figures... figures) {
+    char line[160];
+    std::snprintf(line, sizeof line, format, figures...);
+    writer_->log(line);
+}
+
+void QueryRouter::State::round(Nanos now, Arrivals& arrivals, DecisionWriter& writer) {
+    if (now_ == 0) looked_at_ = climbed_at_ = now;
+    now_ = now;
+    writer_ = &writer;
+    arrivals.play(*this);
+    if (asks_ && now_ >= ask_again_at_) {
+        writer_->listen();
+        ask_again_at_ = now_ + std::max(second, ask_within_ / 4);
+    }
+    keep_pressure();
+    further_.clear();
+    for (const std::uint32_t i : live_)
+        if (!queries_[i].ended) settle(queries_[i]);
+    // First leaf calls, oldest query first and its heaviest part first.
+    for (const std::uint32_t i : live_) {
+        Query& q = queries_[i];
+        if (q.ended) continue;
+        for (const std::uint32_t p : q.parts)
+            if (parts_[p].planned && parts_[p].calls.empty() && !parts_[p].in) send(parts_[p]);
+    }
+    // Further leaf calls have a line of their own, served after the first ones.
+    for (const std::uint32_t p : further_) {
+        if (budget_left() && send(parts_[p]) && budgeted_) further_at_.push_back(now_);
+    }
+    std::erase_if(live_, [this](std::uint32_t i) {
+        if (!queries_[i].ended) return false;
+        queries_[i].listed = false;
+        forget(i);
+        return true;
+    });
+    if ((!live_.empty() || asks_) && !beat_set_) {
+        beat_set_ = true;
+        writer_->wake(0, step_);
+    }
+    writer_ = nullptr;
+}
+
+// ---- The list of nodes ----
+
+std::uint32_t QueryRouter::State::node_index(std::uint32_t id) {
+    const std::uint32_t n = nodes_.put(id);
+    if (n == node_id_.size()) {
+        node_id_.push_back(id);
+        place_.push_back(none);
+        ready_.push_back(0);
+        started_at_.push_back(0);
+        heard_at_.push_back(0);
+        paused_until_.push_back(0);
+        slot_.push_back(usual_slot_);
+        open_.push_back(0);
+        streak_.push_back(0);
+        recent_ended_.push_back(0);
+        recent_bad_.push_back(0);
+        cold_sent_.emplace_back();
+    }
+    return n;
+}
+
+void QueryRouter::State::on_nodes(ListKind kind, std::span<const NodeEntry> entries) {
+    if (kind == ListKind::failed) {
+        ask_again_at_ = std::min(ask_again_at_, now_ + second);
+        return;
+    }
+    if (kind != ListKind::delta) std::fill(ready_.begin(), ready_.end(), 0);
+    for (const NodeEntry& e : entries) {
+        const std::uint32_t n = node_index(e.node);
+        // Drains are kept: from the moment it is told, nothing new goes to a node that drains or is gone.
+        ready_[n] = e.availability == Availability::ready;
+        if (e.availability == Availability::gone) continue;
+        if (e.started_at != started_at_[n]) {  // a new process: what was learned of the old one is void
+            started_at_[n] = e.started_at;
+            slot_[n] = usual_slot_;
+            streak_[n] = 0;
+            paused_until_[n] = 0;
+        }
+        if (place_[n] != e.place) {
+            if (place_[n] != none) std::erase(at_place_[place_[n]], n);
+            place_[n] = e.place;
+            at_place_[e.place].push_back(n);
+            std::sort(at_place_[e.place].begin(), at_place_[e.place].end(),
+                      [this](auto a, auto b) { return node_id_[a] < node_id_[b]; });
+        }
+    }
+}
+
+// ---- What comes in for queries ----
+
+void QueryRouter::State::on_query(const QueryArrival& a) {
+    const std::uint32_t i = by_ask_.put(a.ask);
+    if (i >= queries_.size()) queries_.resize(i + 1);
+    Query& q = queries_[i] = Query{};
+    Vertical& v = verticals_[a.vertical];
+    q.id = a.id;
+    q.ask = a.ask;
+    q.vertical = a.vertical;
+    // A try for which the client waits less than for others is a late one: its first try set the clock.
+    const Nanos span = a.give_up_at - now_;
+    v.full_span = std::max(v.full_span, span);
+    const Nanos began = span < v.full_span - margin_ ? std::min(now_, a.give_up_at - v.terms.deadline) : now_;
+    q.slo_at = began + v.terms.slo - margin_;
+    q.end_by = a.give_up_at - margin_;
+    if (a.tenant < tenants_.size()) {
+        TenantShare& t = tenants_[a.tenant];
+        t.left = std::min(2 * t.rate, t.left + t.rate * static_cast<double>(now_ - t.at) / second);
+        t.at = now_;
+        if (t.left < 1)
+            q.utility = over_share_utility_;
+        else
+            t.left -= 1;
+    }
+    live_.push_back(i);
+    if (budgeted_) taken_at_.push_back(now_);
+}
+
+void QueryRouter::State::on_part(const PartArrival& a) {
+    const std::uint32_t i = by_ask_.find(a.ask);
+    if (budgeted_) taken_at_.push_back(now_);
+    if (i == none || queries_[i].ended) return;
+    Query& q = queries_[i];
+    const std::uint32_t p = part_ids_.put(a.id);
+    if (p >= parts_.size()) parts_.resize(p + 1);
+    Part& part = parts_[p] = Part{};
+    part.id = a.id;
+    part.query = i;
+    part.shard = a.shard;
+    part.weight = a.weight;
+    if (a.hint > 0) {
+        const auto hint = static_cast<double>(a.hint);
+        usual_hint_ += (hint - usual_hint_) * (usual_hint_ == 0 ? 1 : 0.02);
+        part.cost = std::clamp(hint / usual_hint_, 0.25, 8.0);
+    }
+    q.fresh = true;
+    q.parts.push_back(p);
+}
+
+void QueryRouter::State::on_dropped(std::uint32_t id) {
+    for (const std::uint32_t i : live_)
+        if (queries_[i].id == id && !queries_[i].ended) end(queries_[i]);
+}
+
+// A failure of any kind pauses the node, longer each time in a row; each good answer takes one step back.
+// Guards against silent, slow and fast-failing nodes alike: what counts is what came of our own calls, not
+// what the list or a report says. Can harm where all replicas fail for a moment: then the least bad one is
+// asked.
+void QueryRouter::State::fault(std::uint32_t n, Nanos pause) {
+    paused_until_[n] = std::max(paused_until_[n], now_ + (pause << std::min(streak_[n], most_doublings)));
+    if (++streak_[n] == 3)
+        log("node %u pausing: 3 faults, %lld ms", node_id_[n], (long long)((paused_until_[n] - now_) / ms));
+}
+
+void QueryRouter::State::on_leaf_end(const LeafEnd& e) {
+    const std::uint32_t p = part_ids_.find(e.part);
+    if (p == none || e.attempt >= parts_[p].calls.size() || !parts_[p].calls[e.attempt].out) return;
+    Part& part = parts_[p];
+    LeafCall& call = part.calls[e.attempt];
+    const std::uint32_t n = call.node;
+    call.out = false;
+    --part.out;
+    --open_[n];
+    --all_open_;
+    if (part.out > 0) --copies_out_;
+    using enum Outcome;
+    if (e.outcome == full || e.outcome == connect_failed || e.outcome == moot) call.may_have_run = false;
+    const double took = static_cast<double>(e.took);
+    const double slot = took / part.cost / (call.ahead + 1);
+    if (e.outcome != moot && e.outcome != cancelled) {
+        heard_at_[n] = now_;
+        ++recent_ended_[n];
+    }
+    if (e.outcome == ok) {
+        usual_slot_ += (slot - usual_slot_) * (usual_slot_ == 0 ? 1 : 0.02);
+        service_ += (took - service_) * (service_ == 0 ? 1 : took < service_ ? 0.2 : 0.01);
+        slot_[n] += (slot - slot_[n]) * (slot_[n] == 0 ? 1 : 0.2);
+        if (streak_[n] > 0 && --streak_[n] == 0) log("node %u answers again", node_id_[n]);
+    } else if (e.outcome == cancelled || e.outcome == timeout) {
+        if (slot > slot_[n]) slot_[n] += (slot - slot_[n]) * 0.2;  // it would have taken longer still
+    }
+    if ((e.outcome == full || e.outcome == timeout) && !part.late) ++recent_bad_[n];
+    if (e.outcome == full) paused_until_[n] = std::max(paused_until_[n], now_ + first_pause);
+    if (e.outcome == error || e.outcome == timeout || e.outcome == connect_failed || e.outcome == reset)
+        fault(n, first_pause);
+    Query& q = queries_[part.query];
+    if (e.outcome == ok && !q.ended && !part.in) {
+        part.in = true;
+        cancel_out({p});
+    }
+    if (q.ended) forget(part.query);
+}
+
+// ---- Nodes: what to expect, whom to ask ----
+
+// How long a leaf call sent now would take: by what calls took there lately, for each one of ours on the
+// node. A node that holds calls of ours and says nothing takes at least as long as it has been silent: guards
+// against hung and vanished nodes and long pauses before any call has timed out.
+double QueryRouter::State::expected(std::uint32_t n) const {
+    const double by_slot = slot_[n] * (open_[n] + 1);
+    return open_[n] == 0 ? by_slot : std::max(by_slot, static_cast<double>(now_ - heard_at_[n]));
+}
+
+double QueryRouter::State::best_expected(std::uint32_t shard) const {
+    double best = HUGE_VAL;
+    for (int j = 0; j < width_; ++j)
+        for (const std::uint32_t n : at_place_[(shard + j) % places_])
+            if (ready_[n])
+                best = std::min(
+                    best, expected(n) + static_cast<double>(std::max<Nanos>(0, paused_until_[n] - now_)));
+    return best;
+}
+
+// The share of its capacity that a node that started a while ago has at least.
+double QueryRouter::State::warmth(std::uint32_t n) const {
+    if (started_at_[n] == 0 || cold_ <= 0 || now_ - started_at_[n] >= cold_) return 1;
+    const double age = std::max(0.0, static_cast<double>(now_ - started_at_[n]) / static_cast<double>(cold_));
+    return cold_from_ + (1 - cold_from_) * age;
+}
+
+// Rule 4: a cold node gets few leaf calls at a time, and in any window no more than our share of half of what
+// may push it over, reckoned as if it worked on one call at a time.
+bool QueryRouter::State::cold_room(std::uint32_t n) {
+    const double warm = warmth(n);
+    if (warm >= 1) return true;
+    auto& sent = cold_sent_[n];
+    while (!sent.empty() && sent.front() <= now_ - fall_ - step_) sent.pop_front();
+    const double most =
+        cold_sends_rate_ * warm * static_cast<double>(fall_) / std::max(service_, double(20 * ms));
+    return open_[n] < 1 + static_cast<int>(2 * warm) &&
+           static_cast<double>(sent.size()) + 1 <= std::max(1.0, most);
+}
+
+// Replicas take turns. One that is paused is passed over unless all are; so is one that is expected to take
+// much longer than the best, one that is cold and has had enough, and one that has been asked for this part
+// already.
+std::uint32_t QueryRouter::State::choose(const Part& part) {
+    std::vector<std::uint32_t> holders;
+    bool any_unpaused = false;
+    for (int j = 0; j < width_; ++j)
+        for (const std::uint32_t n : at_place_[(part.shard + j) % places_]) {
+            const bool asked =
+                std::any_of(part.calls.begin(), part.calls.end(), [n](auto& c) { return c.node == n; });
+            if (!ready_[n] || asked || !cold_room(n)) continue;
+            holders.push_back(n);
+            any_unpaused |= paused_until_[n] <= now_;
+        }
+    const auto usable = [&](std::uint32_t n) { return !any_unpaused || paused_until_[n] <= now_; };
+    double best = HUGE_VAL;
+    for (const std::uint32_t n : holders)
+        if (usable(n)) best = std::min(best, expected(n));
+    for (std::size_t j = 0; j < holders.size(); ++j) {
+        const std::uint32_t n = holders[(turn_[part.shard] + j) % holders.size()];
+        if (!usable(n) || expected(n) > pass_over * best) continue;
+        turn_[part.shard] += static_cast<std::uint32_t>(j) + 1;
+        return n;
+    }
+    return none;
+}
+
+bool QueryRouter::State::send(Part& part) {
+    const std::uint32_t n = choose(part);
+    if (n == none) return false;
+    if (open_[n] == 0) heard_at_[n] = now_;
+    part.calls.push_back({n, now_, static_cast<Nanos>(expected(n) * part.cost), open_[n], true, true});
+    if (part.out > 0) ++copies_out_;
+    ++part.out;
+    ++open_[n];
+    ++all_open_;
+    if (warmth(n) < 1) cold_sent_[n].push_back(now_);
+    writer_->deliver(part.id, node_id_[n], queries_[part.query].end_by - now_);
+    return true;
+}
+
+// Rule 6, with a round's margin at both ends of the window.
+bool QueryRouter::State::budget_left() {
+    if (!budgeted_) return true;
+    while (!taken_at_.empty() && taken_at_.front() <= now_ - budget_window_ + step_) taken_at_.pop_front();
+    while (!further_at_.empty() && further_at_.front() < now_ - budget_window_ - step_)
+        further_at_.pop_front();
+    const double most = budget_free_ + resend_ratio_ * static_cast<double>(taken_at_.size());
+    return static_cast<double>(further_at_.size()) + 1 <= most;
+}
+
+// Rule 2: what may run twice, and for how long.
+bool QueryRouter::State::repeat_allowed(const Query& q, const Part& part) const {
+    const VerticalTerms& terms = verticals_[q.vertical].terms;
+    if (terms.effect == Effect::repeatable) return true;
+    for (const LeafCall& call : part.calls) {
+        if (!call.may_have_run) continue;
+        if (terms.effect == Effect::side_effecting || now_ > call.sent_at + terms.repeat_window - margin_)
+            return false;
+    }
+    return true;
+}
+
+// ---- p and pressure ----
+
+void QueryRouter::State::keep_pressure() {
+    if (now_ - looked_at_ >= cut_every) {
+        // Timeouts that pile up at a quarter of the nodes are those nodes' trouble; p is for trouble of the
+        // fleet.
+        const int ended = std::accumulate(recent_ended_.begin(), recent_ended_.end(), 0);
+        std::sort(recent_bad_.begin(), recent_bad_.end());
+        const auto spread = recent_bad_.end() - static_cast<std::ptrdiff_t>((recent_bad_.size() + 3) / 4);
+        const int bad = std::accumulate(recent_bad_.begin(), spread, 0);
+        const bool pressed = bad > 1 && bad > pressure_share * ended;
+        if (pressed != pressed_) log("pressure %s: %d bad of %d parts", pressed ? "on" : "off", bad, ended);
+        pressed_ = pressed;
+        for (Vertical& v : verticals_)
+            if (pressed) v.p = std::max(1.0, v.p - p_step * v.k);
+        if (pressed) climbed_at_ = now_;
+        looked_at_ = now_;
+        std::fill(recent_bad_.begin(), recent_bad_.end(), 0);
+        std::fill(recent_ended_.begin(), recent_ended_.end(), 0);
+        for (double& slot : slot_) slot += (usual_slot_ - slot) * 0.05;  // what was seen long ago fades
+    }
+    if (!pressed_ && now_ - climbed_at_ >= climb_every) {
+        for (Vertical& v : verticals_) v.p = std::min(v.k, v.p + std::max(1.0, p_step * v.k));
+        climbed_at_ = now_;
+    }
+}
+
+// Picks the parts to ask, or turns the query away when what it needs can't be in before it is worth nothing.
+void QueryRouter::State::plan(Query& q) {
+    Vertical& v = verticals_[q.vertical];
+    q.fresh = false;
+    const int k = static_cast<int>(q.parts.size());
+    std::stable_sort(q.parts.begin(), q.parts.end(),
+                     [this](auto a, auto b) { return parts_[a].weight > parts_[b].weight; });
+    int p = k;
+    if (q.step == 1 && v.partial && k > 0) {
+        if (k > v.k) v.p += k - v.k, v.k = k;
+        p = std::clamp(static_cast<int>(std::lround(v.p * k / v.k)), 1, k);
+        if (k >= widened && parts_[q.parts[0]].weight - parts_[q.parts[1]].weight < close_weights)
+            p = std::max(p, widened);
+        double sum = 0;
+        for (int j = 0; j < k && (j < p || sum < v.terms.floor); ++j, p = std::max(p, j))
+            sum += parts_[q.parts[j]].weight;
+    }
+    for (int j = 0; j < p; ++j) parts_[q.parts[j]].planned = true;
+    if (q.step == 2) return;
+
+    const Nanos left = now_ < q.slo_at ? q.slo_at - now_ : v.terms.late_utility > 0 ? q.end_by - now_ : 0;
+    double in_time = 0;
+    for (const std::uint32_t i : q.parts)
+        if (best_expected(parts_[i].shard) <= static_cast<double>(left) * q.utility)
+            in_time += parts_[i].weight;
+    if (in_time < (v.partial ? v.terms.floor : v.terms.need) - sum_slack) give_up(q, max_advice_ / 2);
+}
+
+// ---- Queries: answers, further leaf calls, giving up ----
+
+void QueryRouter::State::settle(Query& q) {
+    if (q.fresh) plan(q);
+    if (q.ended) return;
+    const Vertical& v = verticals_[q.vertical];
+    if (q.parts.empty()) {  // its parts are still to come
+        if (now_ >= q.end_by) give_up(q, 0);
+        return;
+    }
+    if (now_ < q.slo_at || v.terms.late_utility > 0) ask_further(q);
+    double in = 0, coming = 0, unasked = 0;
+    bool all_in = true;
+    for (const std::uint32_t i : q.parts) {
+        Part& part = parts_[i];
+        all_in &= part.in;
+        if (!part.lost) (part.in ? in : part.planned ? coming : unasked) += part.weight;
+        if (part.out > 0 && !part.in && !part.late && now_ >= q.slo_at) {
+            part.late = true;  // as good as timed out
+            for (const LeafCall& call : part.calls)
+                if (call.out)
+                    ++recent_bad_[call.node], ++recent_ended_[call.node], fault(call.node, first_pause);
+        }
+    }
+    const double needed = v.partial ? v.terms.floor : q.step == 1 ? v.terms.need : 1;
+    const bool whole = q.step == 1 ? in >= v.terms.need - sum_slack : all_in;
+    const bool enough = v.partial && in >= needed - sum_slack;
+    const Nanos for_second = q.step == 1 && v.terms.second_step > 0 ? static_cast<Nanos>(4 * usual_slot_) : 0;
+    if (whole) return answer(q, q.step == 1 || q.whole);
+    if (enough && (coming <= 0 || now_ >= q.slo_at - for_second)) return answer(q, false);
+    if (now_ >= q.end_by || in + coming + unasked < needed - sum_slack) return give_up(q, max_advice_ / 2);
+    if (in + coming < needed - sum_slack)  // parts were lost: the next heaviest take their place
+        for (const std::uint32_t i : q.parts) parts_[i].planned = true;
+}
+
+void QueryRouter::State::ask_further(Query& q) {
+    for (const std::uint32_t i : q.parts) {
+        Part& part = parts_[i];
+        if (part.in || part.lost || part.calls.empty()) continue;
+        const bool allowed = static_cast<int>(part.calls.size()) < call_cap_ && repeat_allowed(q, part);
+        if (part.out == 0) {
+            if (allowed)
+                further_.push_back(i);
+            else
+                part.lost = true;
+        } else if (allowed && copies_ && part.out == 1) {
+            // A second copy, for a part that is overdue, only while few are out and nothing presses.
+            const LeafCall& call = part.calls.back();
+            const bool overdue =
+                now_ - call.sent_at > copy_after * static_cast<double>(call.expected) || !ready_[call.node];
+            if (overdue && !pressed_ && copies_out_ < copy_share * all_open_ + 1) further_.push_back(i);
+        }
+    }
+}
+
+void QueryRouter::State::answer(Query& q, bool whole) {
+    writer_->answer(q.id, whole);
+    if (q.step == 1 && verticals_[q.vertical].terms.second_step > 0) {
+        cancel_out(q.parts);
+        q.whole = whole;
+        q.step = 2;
+        q.earlier = std::move(q.parts);
+        q.parts.clear();
+    } else {
+        end(q);
+    }
+}
+
+// The final answer at once. A rejection says that coming again is harmless, so nothing may have run of what
+// must not run again.
+void QueryRouter::State::give_up(Query& q, Nanos advice) {
+    bool may_have_run = false;
+    if (verticals_[q.vertical].terms.effect != Effect::repeatable)
+        for (const auto* parts : {&q.earlier, &q.parts})
+            for (const std::uint32_t i : *parts)
+                for (const LeafCall& call : parts_[i].calls) may_have_run |= call.may_have_run;
+    if (may_have_run)
+        writer_->abort(q.id);
+    else
+        writer_->reject(q.id, advises_ ? std::min(advice, max_advice_) : 0);
+    end(q);
+}
+
+void QueryRouter::State::end(Query& q) {
+    q.ended = true;
+    cancel_out(q.parts);
+}
+
+void QueryRouter::State::cancel_out(const std::vector<std::uint32_t>& parts) {
+    if (!may_cancel_) return;
+    for (const std::uint32_t i : parts)
+        for (std::size_t a = 0; a < parts_[i].calls.size(); ++a)
+            if (parts_[i].calls[a].out) writer_->cancel(parts_[i].id, static_cast<std::uint8_t>(a));
+}
+
+// A query that has ended is kept until the last of its leaf calls is heard of.
+void QueryRouter::State::forget(std::uint32_t i) {
+    Query& q = queries_[i];
+    if (q.listed) return;
+    for (const auto* parts : {&q.earlier, &q.parts})
+        for (const std::uint32_t p : *parts)
+            if (parts_[p].out > 0) return;
+    for (const auto* parts : {&q.earlier, &q.parts})
+        for (const std::uint32_t p : *parts) part_ids_.drop(parts_[p].id);
+    by_ask_.drop(q.ask);
+}
+
+// ---- The outside ----
+
+QueryRouter::QueryRouter(const Terms& terms, std::uint64_t seed)
+    : state_(std::make_unique<State>(terms, seed)) {}
+QueryRouter::~QueryRouter() = default;
+QueryRouter::QueryRouter(QueryRouter&&) noexcept = default;
+
+void QueryRouter::round(Nanos now, Arrivals& arrivals, DecisionWriter& writer) {
+    state_->round(now, arrivals, writer);
+}
+
+}  // namespace tealcart
