--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -224,6 +224,7 @@
     }
     // Further leaf calls have a line of their own, served after the first ones.
     for (const std::uint32_t p : further_) {
+        if (queries_[parts_[p].query].ended) continue;  // answered or given up since it was put in line
         if (budget_left() && send(parts_[p]) && budgeted_) further_at_.push_back(now_);
     }
     std::erase_if(live_, [this](std::uint32_t i) {
