--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -571,7 +571,7 @@
             part.late = true;  // as good as timed out
             for (const LeafCall& call : part.calls)
                 if (call.out)
-                    ++recent_bad_[call.node], ++recent_ended_[call.node], fault(call.node, first_pause);
+                    ++recent_bad_[call.node], ++recent_ended_[call.node];
         }
     }
     const double needed = v.partial ? v.terms.floor : q.step == 1 ? v.terms.need : 1;
