--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -34,9 +34,9 @@
 constexpr int widened = 3;
 // Ours.
 constexpr double sum_slack = 2e-5;       // a sum of rounded weights misses its value by less
-constexpr double pass_over = 1.5;        // a replica this many times as slow as the best loses its turn
+constexpr double pass_over = 1.2;        // a replica this many times as slow as the best loses its turn
 constexpr double copy_after = 2.0;       // a leaf call out this many times its expected time may be copied
-constexpr double copy_share = 0.15;      // copies out at a time, of all leaf calls out
+constexpr double copy_share = -1e9;      // copies out at a time, of all leaf calls out
 constexpr Nanos first_pause = 250 * ms;  // for a failing node, doubled each time
 constexpr int most_doublings = 5;
 constexpr double cold_use = 0.5;  // of what rule 4 leaves for a cold node
