--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -35,8 +35,9 @@
 // Ours.
 constexpr double sum_slack = 2e-5;       // a sum of rounded weights misses its value by less
 constexpr double pass_over = 1.2;        // a replica this many times as slow as the best loses its turn
-constexpr double copy_after = 2.0;       // a leaf call out this many times its expected time may be copied
-constexpr double copy_share = -1e9;      // copies out at a time, of all leaf calls out
+constexpr double copy_after = 3.0;       // a leaf call out this many times its expected time may be copied
+constexpr double copy_share = 0.05;      // copies out at a time, of all leaf calls out
+constexpr double over_share_time = 0.5;  // of the time left, for a query of a tenant over its share
 constexpr Nanos first_pause = 250 * ms;  // for a failing node, doubled each time
 constexpr int most_doublings = 5;
 constexpr double cold_use = 0.5;  // of what rule 4 leaves for a cold node
@@ -545,7 +546,7 @@
     const Nanos left = now_ < q.slo_at ? q.slo_at - now_ : v.terms.late_utility > 0 ? q.end_by - now_ : 0;
     double in_time = 0;
     for (const std::uint32_t i : q.parts)
-        if (best_expected(parts_[i].shard) <= static_cast<double>(left) * q.utility)
+        if (best_expected(parts_[i].shard) <= static_cast<double>(left) * (q.utility < 1 ? over_share_time : 1))
             in_time += parts_[i].weight;
     if (in_time < (v.partial ? v.terms.floor : v.terms.need) - sum_slack) give_up(q, max_advice_ / 2);
 }
@@ -598,8 +599,9 @@
         } else if (allowed && copies_ && part.out == 1) {
             // A second copy, for a part that is overdue, only while few are out and nothing presses.
             const LeafCall& call = part.calls.back();
-            const bool overdue =
-                now_ - call.sent_at > copy_after * static_cast<double>(call.expected) || !ready_[call.node];
+            const bool silent = heard_at_[call.node] <= call.sent_at &&
+                                now_ - call.sent_at > copy_after * static_cast<double>(call.expected);
+            const bool overdue = (silent || !ready_[call.node]) && best_expected(part.shard) < 2 * service_;
             if (overdue && !pressed_ && copies_out_ < copy_share * all_open_ + 1) further_.push_back(i);
         }
     }
