--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -37,7 +37,8 @@
 constexpr double pass_over = 1.2;        // a replica this many times as slow as the best loses its turn
 constexpr double copy_after = 3.0;       // a leaf call out this many times its expected time may be copied
 constexpr double copy_share = 0.05;      // copies out at a time, of all leaf calls out
-constexpr double over_share_time = 0.5;  // of the time left, for a query of a tenant over its share
+constexpr double lesser_time = 0.5;     // of the time left, for a late query or one over its tenant's share
+constexpr double foreseen_share = 0.5;  // a part expected to take more of the time left counts as timed out
 constexpr Nanos first_pause = 250 * ms;  // for a failing node, doubled each time
 constexpr int most_doublings = 5;
 constexpr double cold_use = 0.5;  // of what rule 4 leaves for a cold node
@@ -161,6 +162,7 @@
 
     Nanos looked_at_ = 0, climbed_at_ = 0;
     bool pressed_ = false;
+    int foreseen_ = 0, foreseen_bad_ = 0;  // parts planned since the last look, and those that seemed to come too late
 };
 
 QueryRouter::State::State(const Terms& t, std::uint64_t seed)
@@ -502,10 +504,11 @@
     if (now_ - looked_at_ >= cut_every) {
         // Timeouts that pile up at a quarter of the nodes are those nodes' trouble; p is for trouble of the
         // fleet.
-        const int ended = std::accumulate(recent_ended_.begin(), recent_ended_.end(), 0);
+        const int ended = std::accumulate(recent_ended_.begin(), recent_ended_.end(), foreseen_);
         std::sort(recent_bad_.begin(), recent_bad_.end());
         const auto spread = recent_bad_.end() - static_cast<std::ptrdiff_t>((recent_bad_.size() + 3) / 4);
-        const int bad = std::accumulate(recent_bad_.begin(), spread, 0);
+        const int bad = std::accumulate(recent_bad_.begin(), spread, foreseen_bad_);
+        foreseen_ = foreseen_bad_ = 0;
         const bool pressed = bad > 1 && bad > pressure_share * ended;
         if (pressed != pressed_) log("pressure %s: %d bad of %d parts", pressed ? "on" : "off", bad, ended);
         pressed_ = pressed;
@@ -543,11 +546,17 @@
     for (int j = 0; j < p; ++j) parts_[q.parts[j]].planned = true;
     if (q.step == 2) return;
 
-    const Nanos left = now_ < q.slo_at ? q.slo_at - now_ : v.terms.late_utility > 0 ? q.end_by - now_ : 0;
+    // A query that is late or over its tenant's share is worth less and must fit in half the time.
+    const bool late = now_ >= q.slo_at;
+    const Nanos left = !late ? q.slo_at - now_ : v.terms.late_utility > 0 ? std::min(q.end_by - now_, v.terms.slo) : 0;
+    const double most = static_cast<double>(left) * (late || q.utility < 1 ? lesser_time : 1);
     double in_time = 0;
-    for (const std::uint32_t i : q.parts)
-        if (best_expected(parts_[i].shard) <= static_cast<double>(left) * (q.utility < 1 ? over_share_time : 1))
-            in_time += parts_[i].weight;
+    for (int j = 0; j < k; ++j) {
+        const Part& part = parts_[q.parts[j]];
+        const double takes = best_expected(part.shard);
+        if (takes <= most) in_time += part.weight;
+        if (part.planned) ++foreseen_, foreseen_bad_ += takes > foreseen_share * most;
+    }
     if (in_time < (v.partial ? v.terms.floor : v.terms.need) - sum_slack) give_up(q, max_advice_ / 2);
 }
 
