--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -37,8 +37,8 @@
 constexpr double pass_over = 1.2;        // a replica this many times as slow as the best loses its turn
 constexpr double copy_after = 3.0;       // a leaf call out this many times its expected time may be copied
 constexpr double copy_share = 0.05;      // copies out at a time, of all leaf calls out
-constexpr double lesser_time = 0.5;     // of the time left, for a late query or one over its tenant's share
-constexpr double foreseen_share = 0.5;  // a part expected to take more of the time left counts as timed out
+constexpr double lesser_time = 0.5;      // of the time left, for a late query or one over its tenant's share
+constexpr double foreseen_share = 0.5;   // a part expected to take more of the time left counts as timed out
 constexpr Nanos first_pause = 250 * ms;  // for a failing node, doubled each time
 constexpr int most_doublings = 5;
 constexpr double cold_use = 0.5;  // of what rule 4 leaves for a cold node
@@ -162,7 +162,8 @@
 
     Nanos looked_at_ = 0, climbed_at_ = 0;
     bool pressed_ = false;
-    int foreseen_ = 0, foreseen_bad_ = 0;  // parts planned since the last look, and those that seemed to come too late
+    int foreseen_ = 0,
+        foreseen_bad_ = 0;  // parts planned since the last look, and those that seemed to come too late
 };
 
 QueryRouter::State::State(const Terms& t, std::uint64_t seed)
@@ -301,12 +302,14 @@
     q.id = a.id;
     q.ask = a.ask;
     q.vertical = a.vertical;
-    // A try for which the client waits less than for others is a late one: its first try set the clock.
+    // A repeat for which the client waits less than for others is a late one: its first try set the clock.
+    // Only a marked one: clients that turn impatient must not pass for late ones.
     const Nanos span = a.give_up_at - now_;
     v.full_span = std::max(v.full_span, span);
-    const Nanos began = span < v.full_span - margin_ ? std::min(now_, a.give_up_at - v.terms.deadline) : now_;
-    q.slo_at = began + v.terms.slo - margin_;
+    const bool late = a.again && span < v.full_span - margin_;
+    const Nanos began = late ? std::min(now_, a.give_up_at - v.terms.deadline) : now_;
     q.end_by = a.give_up_at - margin_;
+    q.slo_at = std::min(q.end_by, began + v.terms.slo - margin_);
     if (a.tenant < tenants_.size()) {
         TenantShare& t = tenants_[a.tenant];
         t.left = std::min(2 * t.rate, t.left + t.rate * static_cast<double>(now_ - t.at) / second);
@@ -548,7 +551,9 @@
 
     // A query that is late or over its tenant's share is worth less and must fit in half the time.
     const bool late = now_ >= q.slo_at;
-    const Nanos left = !late ? q.slo_at - now_ : v.terms.late_utility > 0 ? std::min(q.end_by - now_, v.terms.slo) : 0;
+    const Nanos left = !late                      ? q.slo_at - now_
+                       : v.terms.late_utility > 0 ? std::min(q.end_by - now_, v.terms.slo)
+                                                  : 0;
     const double most = static_cast<double>(left) * (late || q.utility < 1 ? lesser_time : 1);
     double in_time = 0;
     for (int j = 0; j < k; ++j) {
@@ -580,8 +585,7 @@
         if (part.out > 0 && !part.in && !part.late && now_ >= q.slo_at) {
             part.late = true;  // as good as timed out
             for (const LeafCall& call : part.calls)
-                if (call.out)
-                    ++recent_bad_[call.node], ++recent_ended_[call.node];
+                if (call.out) ++recent_bad_[call.node], ++recent_ended_[call.node];
         }
     }
     const double needed = v.partial ? v.terms.floor : q.step == 1 ? v.terms.need : 1;
