--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -73,7 +73,7 @@
     Nanos slo_at = 0, end_by = 0;
     double utility = 1;  // of the stated: less where the tenant is over its share
     int step = 1;
-    bool fresh = true, whole = false, ended = false, listed = true;
+    bool fresh = true, whole = false, ended = false, listed = true, late_try = false;
 };
 
 struct TenantShare {
@@ -125,7 +125,7 @@
     std::vector<TenantShare> tenants_;
     double over_share_utility_;
     int places_, width_, shards_, call_cap_, routers_;
-    bool may_cancel_, copies_, asks_, advises_;
+    bool may_cancel_, copies_, asks_, advises_, marks_;
     Nanos step_, margin_, max_advice_, drain_grace_, ask_within_;
     double cold_from_, cold_sends_rate_;
     Nanos cold_, fall_;
@@ -152,6 +152,7 @@
     std::vector<std::uint32_t> turn_;  // per shard
     double usual_slot_ = 0, service_ = 0, usual_hint_ = 0;
     int all_open_ = 0, copies_out_ = 0;
+    double repeats_due_ = 0;  // tries given up lately that may come again unmarked
 
     IdIndex by_ask_, part_ids_;  // queries go under the number that ties their parts to them
     std::vector<Query> queries_;
@@ -177,6 +178,7 @@
       copies_(t.second_copies),
       asks_(t.discovery == Discovery::ask),
       advises_(t.retry_after),
+      marks_(t.marks_repeats),
       step_(t.step),
       margin_(2 * t.step + 3 * ms),
       max_advice_(t.max_retry_after),
@@ -303,10 +305,13 @@
     q.ask = a.ask;
     q.vertical = a.vertical;
     // A repeat for which the client waits less than for others is a late one: its first try set the clock.
-    // Only a marked one: clients that turn impatient must not pass for late ones.
+    // Where repeats are not marked, no more short waits pass for late tries than were given up lately:
+    // clients may just be impatient.
     const Nanos span = a.give_up_at - now_;
     v.full_span = std::max(v.full_span, span);
-    const bool late = a.again && span < v.full_span - margin_;
+    const bool late = (a.again || repeats_due_ >= 1) && span < v.full_span - margin_;
+    if (late && !a.again) repeats_due_ -= 1;
+    q.late_try = late;
     const Nanos began = late ? std::min(now_, a.give_up_at - v.terms.deadline) : now_;
     q.end_by = a.give_up_at - margin_;
     q.slo_at = std::min(q.end_by, began + v.terms.slo - margin_);
@@ -519,6 +524,7 @@
             if (pressed) v.p = std::max(1.0, v.p - p_step * v.k);
         if (pressed) climbed_at_ = now_;
         looked_at_ = now_;
+        repeats_due_ *= 0.8;
         std::fill(recent_bad_.begin(), recent_bad_.end(), 0);
         std::fill(recent_ended_.begin(), recent_ended_.end(), 0);
         for (double& slot : slot_) slot += (usual_slot_ - slot) * 0.05;  // what was seen long ago fades
@@ -645,6 +651,7 @@
         writer_->abort(q.id);
     else
         writer_->reject(q.id, advises_ ? std::min(advice, max_advice_) : 0);
+    if (!marks_ && !q.late_try) repeats_due_ += 1;
     end(q);
 }
 
--- a/src/router/query_router.hpp
+++ b/src/router/query_router.hpp
@@ -58,6 +58,7 @@
     bool second_copies = false;
     bool may_probe = false;
     bool retry_after = false;
+    bool marks_repeats = false;  // clients mark a try that is not their first
     Nanos max_retry_after = 0;
     Nanos drain_grace = 0;
     Nanos ask_within = 0;
--- a/src/simwire/settings_text.cpp
+++ b/src/simwire/settings_text.cpp
@@ -110,6 +110,8 @@
     t.second_copies = flag(limits, "second_copies");
     t.may_probe = flag(limits, "probing");
     t.retry_after = flag(limits, "retry_after");
+    if (const auto callers = in.find("callers"); callers != in.end())
+        t.marks_repeats = flag(*callers, "marks_retry");
     t.max_retry_after = span(limits, "max_retry_after", 0);
     t.drain_grace = span(safety, "drain_grace", 0);
     t.ask_within = span(safety, "ask_within", 0);
