--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -37,8 +37,9 @@
 constexpr double pass_over = 1.2;        // a replica this many times as slow as the best loses its turn
 constexpr double copy_after = 3.0;       // a leaf call out this many times its expected time may be copied
 constexpr double copy_share = 0.05;      // copies out at a time, of all leaf calls out
-constexpr double lesser_time = 0.5;      // of the time left, for a late query or one over its tenant's share
-constexpr double foreseen_share = 0.5;   // a part expected to take more of the time left counts as timed out
+constexpr double usable_time = 0.65;     // of the time left, that what a query needs may be expected to take
+constexpr double lesser_time = 0.35;     // of the time left, for a late query or one over its tenant's share
+constexpr double foreseen_share = 0.75;  // a part expected to take more of the time left counts as timed out
 constexpr Nanos first_pause = 250 * ms;  // for a failing node, doubled each time
 constexpr int most_doublings = 5;
 constexpr double cold_use = 0.5;  // of what rule 4 leaves for a cold node
@@ -142,7 +143,7 @@
     // Nodes, in parallel arrays under the index of their id.
     IdIndex nodes_;
     std::vector<std::uint32_t> node_id_, place_;
-    std::vector<char> ready_;
+    std::vector<char> ready_, failing_;  // failing: logged as such
     std::vector<Nanos> started_at_, heard_at_, paused_until_;
     std::vector<double> slot_;  // time an own leaf call takes, for each one on the node, itself counted
     std::vector<int> open_, streak_;
@@ -254,6 +255,7 @@
         node_id_.push_back(id);
         place_.push_back(none);
         ready_.push_back(0);
+        failing_.push_back(0);
         started_at_.push_back(0);
         heard_at_.push_back(0);
         paused_until_.push_back(0);
@@ -360,8 +362,10 @@
 // asked.
 void QueryRouter::State::fault(std::uint32_t n, Nanos pause) {
     paused_until_[n] = std::max(paused_until_[n], now_ + (pause << std::min(streak_[n], most_doublings)));
-    if (++streak_[n] == 3)
-        log("node %u pausing: 3 faults, %lld ms", node_id_[n], (long long)((paused_until_[n] - now_) / ms));
+    if (++streak_[n] < 3 || failing_[n]) return;
+    failing_[n] = 1;
+    log("node %u fails: %d faults, paused %lld ms", node_id_[n], streak_[n],
+        (long long)((paused_until_[n] - now_) / ms));
 }
 
 void QueryRouter::State::on_leaf_end(const LeafEnd& e) {
@@ -387,7 +391,10 @@
         usual_slot_ += (slot - usual_slot_) * (usual_slot_ == 0 ? 1 : 0.02);
         service_ += (took - service_) * (service_ == 0 ? 1 : took < service_ ? 0.2 : 0.01);
         slot_[n] += (slot - slot_[n]) * (slot_[n] == 0 ? 1 : 0.2);
-        if (streak_[n] > 0 && --streak_[n] == 0) log("node %u answers again", node_id_[n]);
+        if (streak_[n] > 0 && --streak_[n] == 0 && failing_[n]) {
+            failing_[n] = 0;
+            log("node %u answers again: %d ms", node_id_[n], static_cast<int>(e.took / ms));
+        }
     } else if (e.outcome == cancelled || e.outcome == timeout) {
         if (slot > slot_[n]) slot_[n] += (slot - slot_[n]) * 0.2;  // it would have taken longer still
     }
@@ -560,7 +567,7 @@
     const Nanos left = !late                      ? q.slo_at - now_
                        : v.terms.late_utility > 0 ? std::min(q.end_by - now_, v.terms.slo)
                                                   : 0;
-    const double most = static_cast<double>(left) * (late || q.utility < 1 ? lesser_time : 1);
+    const double most = static_cast<double>(left) * (late || q.utility < 1 ? lesser_time : usable_time);
     double in_time = 0;
     for (int j = 0; j < k; ++j) {
         const Part& part = parts_[q.parts[j]];
