--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/simwire_test.cpp
@@ -0,0 +1,140 @@
+// The wire: the worked examples of its page, a list page used twice in a batch, and input that is malformed.
+#include <catch2/catch.hpp>
+
+#include "simwire/adapter.hpp"
+#include "simwire/frame.hpp"
+
+using namespace tealcart;
+using namespace tealcart::simwire;
+
+namespace {
+
+const std::string settings =
+    R"({"extra": {"places": 2, "ranges": 4, "width": 2, "floor_by_class": [0.5], "complete_from": [1.0]},
+ "limits": {"send_cap": 3, "unknown": 1}, "safety": {"drain_grace": 500.0}, "step": 5.0,
+ "services": [{"promise": 2000.0, "deadline": 4000.0, "semantics": "repeatable"}], "new_key": {}})";
+
+std::string bytes(std::string_view hex) {
+    std::string out, digits;
+    for (const char c : hex)
+        if (c != ' ') digits += c;
+    for (std::size_t i = 0; i + 1 < digits.size(); i += 2)
+        out += static_cast<char>(std::stoi(digits.substr(i, 2), nullptr, 16));
+    return out;
+}
+
+std::string batch(double clock_ms, const std::vector<std::string>& records) {
+    std::string out;
+    put(out, clock_ms);
+    put(out, static_cast<std::uint32_t>(records.size()));
+    put(out, std::uint32_t{12});
+    for (const std::string& r : records) out += r;
+    return out;
+}
+
+std::string init(const std::string& text = settings) {
+    std::string out = bytes("03 03000000 0100000000000000");
+    put(out, static_cast<std::uint32_t>(text.size()));
+    return out + text;
+}
+
+std::string inventory(std::uint8_t page, std::uint32_t node, std::uint16_t place) {
+    std::string out = bytes("05");
+    put(out, page);
+    put(out, std::uint32_t{1});
+    put(out, node);
+    put(out, std::uint16_t{0});
+    put(out, std::uint8_t{0});
+    put(out, place);
+    put(out, std::uint8_t{1});
+    put(out, 1.0F);
+    put(out, 0.0);
+    return out;
+}
+
+std::string demand(std::uint32_t id, float shard, float heft) {
+    std::string out = bytes("04 03000000");
+    put(out, id);
+    out += bytes("0000 00000000 0000000000000000");
+    put(out, 9000.0);
+    put(out, 0.0);
+    put(out, 1.0F);
+    put(out, shard);
+    put(out, heft);
+    put(out, std::uint16_t{0});
+    return out;
+}
+
+const std::string changed_delta = bytes("07 03000000 00 00 29000000");
+
+}  // namespace
+
+TEST_CASE("the page's empty batch gets its empty reply") {
+    Adapter adapter;
+    CHECK(adapter.reply_to(bytes("00000000206ec040 00000000 01000000")) ==
+          bytes("00000000 04000000 01000000"));
+}
+
+TEST_CASE("the page's worked records are read") {
+    Adapter adapter;
+    const std::string two = bytes(
+        "05 00 02000000 074a1203 0000 00 0000 01 0000803f 0000000000000000"
+        "f211902c 0100 00 0100 01 0000c03f 0000000000d4b740");
+    adapter.reply_to(batch(8000, {init(), two, bytes("07 03000000 02 00 29000000")}));
+    const std::string asked = adapter.reply_to(batch(
+        8412.25,
+        {bytes(
+             "04 03000000 192b6f0e 0000 00000000 640ad2557c3bf091 0000000020e6c040 0000000000002840 00005643"
+             "000080bf 0000803f 0100"),
+         bytes(
+             "04 03000000 c4913a5d 0000 00000000 640ad2557c3bf091 0000000020e6c040 0000000000002840 00005643"
+             "00000000 0000803f 0100")}));
+    CHECK(asked.find(bytes("44 03000000 c4913a5d")) != std::string::npos);
+    // Its outcome from whichever node was asked answers the query, whole, in the page's words.
+    const std::string node = asked.substr(asked.find(bytes("44 03000000 c4913a5d")) + 9, 4);
+    const std::string end = bytes("0a 03000000 c4913a5d 0000000000803240") + node + bytes("0100 01 00 00");
+    const std::string reply = adapter.reply_to(batch(8500, {end, bytes("0b 03000000 4d00000000000000")}));
+    CHECK(reply.find(bytes("41 03000000 192b6f0e 01")) != std::string::npos);
+    CHECK_NOTHROW(
+        adapter.reply_to(batch(8600, {bytes("01 03000000 192b6f0e"),
+                                      bytes("08 03000000 c4913a5d 00") + node + bytes("0000000000803240")})));
+}
+
+TEST_CASE("a list page used again in a batch keeps its order") {
+    Adapter adapter;
+    adapter.reply_to(
+        batch(8000, {init(), inventory(0, 71, 0), changed_delta, inventory(0, 72, 1), changed_delta}));
+    const std::string reply =
+        adapter.reply_to(batch(8005, {demand(1, -1, 2), demand(2, 0, 0.5F), demand(3, 1, 0.5F)}));
+    CHECK(reply.find(bytes("44 03000000 02000000 47000000")) !=
+          reply.find(bytes("44 03000000 02000000 48000000")));
+    CHECK(reply.find(bytes("48000000")) != std::string::npos);
+    CHECK(reply.find(bytes("47000000")) != std::string::npos);
+}
+
+TEST_CASE("a router that is killed and started again in one batch forgets its life") {
+    Adapter adapter;
+    adapter.reply_to(
+        batch(8000, {init(), inventory(0, 71, 0), changed_delta, demand(1, -1, 1), demand(2, 0, 1)}));
+    const std::string reply = adapter.reply_to(batch(8005, {bytes("09 03000000"), init(), changed_delta}));
+    CHECK(reply.find(bytes("01000000 41")) == std::string::npos);
+    CHECK_NOTHROW(adapter.reply_to(batch(12000, {bytes("0b 03000000 0000000000000000")})));
+}
+
+TEST_CASE("malformed input is told in plain words") {
+    const auto fails = [](const std::string& input, const std::string& words) {
+        Adapter adapter;
+        CHECK_THROWS_WITH(adapter.reply_to(input), Catch::Contains(words));
+    };
+    fails(bytes("0000"), "ends before");
+    fails(batch(8000, {init().substr(0, 40)}), "ends before");
+    fails(batch(8000, {bytes("63 03000000")}), "unknown record code 99");
+    fails(batch(8000, {init()}) + "x", "goes on behind");
+    fails(batch(8000, {init(), changed_delta}), "never sent");
+    fails(batch(8000, {init("{\"step\": ")}), "can't be read");
+    fails(batch(8000, {init("{}")}), "lack 'extra'");
+    fails(batch(8000, {init("[1]")}), "lack");
+    fails(batch(8000, {bytes("0b 03000000 0000000000000000")}), "has not been started");
+    fails(batch(8000, {bytes("05 00 ffffffff")}), "ends before");
+    fails(batch(8000, {init(), demand(1, 9, 1)}), "beyond extra.ranges");
+}
