--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -42,7 +42,7 @@
 constexpr double foreseen_share = 0.75;  // a part expected to take more of the time left counts as timed out
 constexpr Nanos first_pause = 250 * ms;  // for a failing node, doubled each time
 constexpr int most_doublings = 5;
-constexpr double cold_use = 0.5;  // of what rule 4 leaves for a cold node
+constexpr double cold_use = 1.0;  // of what rule 4 leaves for a cold node
 
 struct Vertical {
     VerticalTerms terms;
@@ -446,7 +446,7 @@
     while (!sent.empty() && sent.front() <= now_ - fall_ - step_) sent.pop_front();
     const double most =
         cold_sends_rate_ * warm * static_cast<double>(fall_) / std::max(service_, double(20 * ms));
-    return open_[n] < 1 + static_cast<int>(2 * warm) &&
+    return open_[n] < 2 + static_cast<int>(3 * warm) &&
            static_cast<double>(sent.size()) + 1 <= std::max(1.0, most);
 }
 
