Copy by a node's silence in slots, while under a quarter of the nodes in use are silent

Guards against hung, vanished and paused nodes; could hold back needed copies when a quarter of the nodes hang.

--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -36,7 +36,7 @@
 constexpr double sum_slack = 2e-5;       // a sum of rounded weights misses its value by less
 constexpr double pass_over = 1.2;        // a replica this many times as slow as the best loses its turn
 constexpr double copy_after = 3.0;       // a leaf call out this many times its expected time may be copied
-constexpr double copy_share = 0.05;      // copies out at a time, of all leaf calls out
+constexpr double copy_share = 0.1;       // copies out at a time, of all leaf calls out
 constexpr double usable_time = 0.65;     // of the time left, that what a query needs may be expected to take
 constexpr double lesser_time = 0.35;     // of the time left, for a late query or one over its tenant's share
 constexpr double foreseen_share = 0.75;  // a part expected to take more of the time left counts as timed out
@@ -103,6 +103,7 @@
     void fault(std::uint32_t n, Nanos pause);
     double expected(std::uint32_t n) const;
     double best_expected(std::uint32_t shard) const;
+    bool silent(std::uint32_t n) const;
     double warmth(std::uint32_t n) const;
     bool cold_room(std::uint32_t n);
     std::uint32_t choose(const Part& part);
@@ -163,7 +164,7 @@
     std::deque<Nanos> taken_at_, further_at_;
 
     Nanos looked_at_ = 0, climbed_at_ = 0;
-    bool pressed_ = false;
+    bool pressed_ = false, few_silent_ = true;
     int foreseen_ = 0,
         foreseen_bad_ = 0;  // parts planned since the last look, and those that seemed to come too late
 };
@@ -219,6 +220,11 @@
         ask_again_at_ = now_ + std::max(second, ask_within_ / 4);
     }
     keep_pressure();
+    // Where more than a quarter of the nodes in use are silent, it is the fleet that is slow: copies would
+    // slow it more.
+    int silent_nodes = 0, in_use = 0;
+    for (std::uint32_t n = 0; n < nodes_.size(); ++n) silent_nodes += silent(n), in_use += open_[n] > 0;
+    few_silent_ = 4 * silent_nodes <= in_use;
     further_.clear();
     for (const std::uint32_t i : live_)
         if (!queries_[i].ended) settle(queries_[i]);
@@ -420,6 +426,11 @@
     return open_[n] == 0 ? by_slot : std::max(by_slot, static_cast<double>(now_ - heard_at_[n]));
 }
 
+// A node that should answer about once a slot, and has not for several.
+bool QueryRouter::State::silent(std::uint32_t n) const {
+    return open_[n] > 0 && now_ - heard_at_[n] > copy_after * std::max(slot_[n], usual_slot_);
+}
+
 double QueryRouter::State::best_expected(std::uint32_t shard) const {
     double best = HUGE_VAL;
     for (int j = 0; j < width_; ++j)
@@ -625,10 +636,13 @@
         } else if (allowed && copies_ && part.out == 1) {
             // A second copy, for a part that is overdue, only while few are out and nothing presses.
             const LeafCall& call = part.calls.back();
-            const bool silent = heard_at_[call.node] <= call.sent_at &&
-                                now_ - call.sent_at > copy_after * static_cast<double>(call.expected);
-            const bool overdue = (silent || !ready_[call.node]) && best_expected(part.shard) < 2 * service_;
-            if (overdue && !pressed_ && copies_out_ < copy_share * all_open_ + 1) further_.push_back(i);
+            // Overdue: the node, which should answer once a slot, has said nothing for several since the call
+            // was sent.
+            const bool overdue =
+                (now_ - call.sent_at > copy_after * usual_slot_ && silent(call.node)) || !ready_[call.node];
+            if (overdue && few_silent_ && !pressed_ && best_expected(part.shard) < 2 * service_ &&
+                copies_out_ < copy_share * all_open_ + 1)
+                further_.push_back(i);
         }
     }
 }
