--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -33,19 +33,15 @@
 constexpr double close_weights = 0.05;
 constexpr int widened = 3;
 // Ours.
-constexpr double sum_slack = 2e-5;  // a sum of rounded weights misses its value by less
-constexpr double pass_over = 1.2;   // a replica this many times as slow as the best loses its turn
-constexpr double copy_after = 3.0;  // a leaf call out this many times its expected time may be copied
-constexpr double lost_after =
-    10.0;  // slots of silence after which a leaf call is given up and sent elsewhere
-constexpr std::size_t overtakers =
-    2;  // later calls answered by the node, after which an earlier one is given up
+constexpr double sum_slack = 2e-5;       // a sum of rounded weights misses its value by less
+constexpr double pass_over = 1.2;        // a replica this many times as slow as the best loses its turn
+constexpr double copy_after = 3.0;       // a leaf call out this many times its expected time may be copied
 constexpr double copy_share = 0.1;       // copies out at a time, of all leaf calls out
 constexpr double usable_time = 0.65;     // of the time left, that what a query needs may be expected to take
 constexpr double lesser_time = 0.35;     // of the time left, for a late query or one over its tenant's share
 constexpr double foreseen_share = 0.75;  // a part expected to take more of the time left counts as timed out
 constexpr Nanos first_pause = 250 * ms;  // for a failing node, doubled each time
-constexpr int most_doublings = 3;
+constexpr int most_doublings = 5;
 constexpr double cold_use = 1.0;  // of what rule 4 leaves for a cold node
 
 struct Vertical {
@@ -60,7 +56,7 @@
     Nanos sent_at = 0;
     Nanos expected = 0;
     int ahead = 0;  // our leaf calls on the node when it was sent
-    bool out = true, may_have_run = true, given_up = false;
+    bool out = true, may_have_run = true;
 };
 
 struct Part {
@@ -107,8 +103,7 @@
     void fault(std::uint32_t n, Nanos pause);
     double expected(std::uint32_t n) const;
     double best_expected(std::uint32_t shard) const;
-    bool silent(std::uint32_t n, double slots) const;
-    bool lost_call(const LeafCall& call) const;
+    bool silent(std::uint32_t n) const;
     double warmth(std::uint32_t n) const;
     bool cold_room(std::uint32_t n);
     std::uint32_t choose(const Part& part);
@@ -151,14 +146,14 @@
     std::vector<std::uint32_t> node_id_, place_;
     std::vector<char> ready_, failing_;  // failing: logged as such
     std::vector<Nanos> started_at_, heard_at_, paused_until_;
+    std::vector<double> took_, ahead_;  // what a leaf call took lately, with so many of ours ahead of it
     std::vector<double> slot_;  // time an own leaf call takes, for each one on the node, itself counted
     std::vector<int> open_, streak_;
     std::vector<int> recent_ended_, recent_bad_;  // since the last look at pressure
     std::vector<std::deque<Nanos>> cold_sent_;
-    std::vector<std::deque<Nanos>> answered_;  // when the calls answered last were sent
     std::vector<std::vector<std::uint32_t>> at_place_;
     std::vector<std::uint32_t> turn_;  // per shard
-    double usual_slot_ = 0, service_ = 0, usual_hint_ = 0;
+    double usual_slot_ = 0, usual_took_ = 0, service_ = 0, usual_hint_ = 0;
     int all_open_ = 0, copies_out_ = 0;
     double repeats_due_ = 0;  // tries given up lately that may come again unmarked
 
@@ -229,8 +224,7 @@
     // Where more than a quarter of the nodes in use are silent, it is the fleet that is slow: copies would
     // slow it more.
     int silent_nodes = 0, in_use = 0;
-    for (std::uint32_t n = 0; n < nodes_.size(); ++n)
-        silent_nodes += silent(n, copy_after), in_use += open_[n] > 0;
+    for (std::uint32_t n = 0; n < nodes_.size(); ++n) silent_nodes += silent(n), in_use += open_[n] > 0;
     few_silent_ = 4 * silent_nodes <= in_use;
     further_.clear();
     for (const std::uint32_t i : live_)
@@ -273,12 +267,13 @@
         heard_at_.push_back(0);
         paused_until_.push_back(0);
         slot_.push_back(usual_slot_);
+        took_.push_back(usual_took_);
+        ahead_.push_back(0);
         open_.push_back(0);
         streak_.push_back(0);
         recent_ended_.push_back(0);
         recent_bad_.push_back(0);
         cold_sent_.emplace_back();
-        answered_.emplace_back();
     }
     return n;
 }
@@ -297,6 +292,8 @@
         if (e.started_at != started_at_[n]) {  // a new process: what was learned of the old one is void
             started_at_[n] = e.started_at;
             slot_[n] = usual_slot_;
+            took_[n] = usual_took_;
+            ahead_[n] = 0;
             streak_[n] = 0;
             paused_until_[n] = 0;
         }
@@ -402,16 +399,18 @@
         ++recent_ended_[n];
     }
     if (e.outcome == ok) {
-        answered_[n].push_back(call.sent_at);
-        if (answered_[n].size() > overtakers) answered_[n].pop_front();
         usual_slot_ += (slot - usual_slot_) * (usual_slot_ == 0 ? 1 : 0.02);
         service_ += (took - service_) * (service_ == 0 ? 1 : took < service_ ? 0.2 : 0.01);
+        usual_took_ += (took / part.cost - usual_took_) * (usual_took_ == 0 ? 1 : 0.02);
+        took_[n] += (took / part.cost - took_[n]) * (took_[n] == 0 ? 1 : 0.2);
+        ahead_[n] += (call.ahead - ahead_[n]) * 0.2;
         slot_[n] += (slot - slot_[n]) * (slot_[n] == 0 ? 1 : 0.2);
         if (streak_[n] > 0 && --streak_[n] == 0 && failing_[n]) {
             failing_[n] = 0;
             log("node %u answers again: %d ms", node_id_[n], static_cast<int>(e.took / ms));
         }
     } else if (e.outcome == cancelled || e.outcome == timeout) {
+        if (took > took_[n]) took_[n] += (took - took_[n]) * 0.2;  // it would have taken longer still
         if (slot > slot_[n]) slot_[n] += (slot - slot_[n]) * 0.2;  // it would have taken longer still
     }
     if ((e.outcome == full || e.outcome == timeout) && !part.late) ++recent_bad_[n];
@@ -432,26 +431,13 @@
 // node. A node that holds calls of ours and says nothing takes at least as long as it has been silent: guards
 // against hung and vanished nodes and long pauses before any call has timed out.
 double QueryRouter::State::expected(std::uint32_t n) const {
-    const double by_slot = slot_[n] * (open_[n] + 1);
-    return open_[n] == 0 ? by_slot : std::max(by_slot, static_cast<double>(now_ - heard_at_[n]));
+    const double by_line = std::max(service_, took_[n] + (open_[n] - ahead_[n]) * service_);
+    return open_[n] == 0 ? by_line : std::max(by_line, static_cast<double>(now_ - heard_at_[n]));
 }
 
-// A node that should answer about once a slot, and has not for so many.
-bool QueryRouter::State::silent(std::uint32_t n, double slots) const {
-    return open_[n] > 0 && now_ - heard_at_[n] > slots * std::max(slot_[n], usual_slot_);
-}
-
-// A leaf call that will hardly be answered any more: the node has answered later ones since, or has been
-// silent for long. Guards against calls or answers that go astray while the nodes are well, and against hung
-// nodes; a node that is merely slow still answers in turn. Can harm where a node's work suddenly takes six
-// times as long.
-bool QueryRouter::State::lost_call(const LeafCall& call) const {
-    const auto& later = answered_[call.node];
-    const bool overtaken =
-        later.size() == overtakers && *std::min_element(later.begin(), later.end()) > call.sent_at;
-    const Nanos age = now_ - call.sent_at;
-    return (overtaken && age > 2 * copy_after * usual_slot_) ||
-           (age > lost_after * usual_slot_ && silent(call.node, lost_after));
+// A node that should answer about once a slot, and has not for several.
+bool QueryRouter::State::silent(std::uint32_t n) const {
+    return open_[n] > 0 && now_ - heard_at_[n] > copy_after * std::max(slot_[n], usual_slot_);
 }
 
 double QueryRouter::State::best_expected(std::uint32_t shard) const {
@@ -569,6 +555,7 @@
         std::fill(recent_bad_.begin(), recent_bad_.end(), 0);
         std::fill(recent_ended_.begin(), recent_ended_.end(), 0);
         for (double& slot : slot_) slot += (usual_slot_ - slot) * 0.05;  // what was seen long ago fades
+        for (double& took : took_) took += (usual_took_ - took) * 0.05;
     }
     if (!pressed_ && now_ - climbed_at_ >= climb_every) {
         for (Vertical& v : verticals_) v.p = std::min(v.k, v.p + std::max(1.0, p_step * v.k));
@@ -656,20 +643,14 @@
                 further_.push_back(i);
             else
                 part.lost = true;
-        } else if (allowed && part.out == 1) {
-            LeafCall& call = part.calls.back();
-            if (!call.given_up && may_cancel_ && lost_call(call)) {
-                // Timed out by us: it goes again once its end is heard of.
-                call.given_up = true;
-                writer_->cancel(part.id, static_cast<std::uint8_t>(part.calls.size() - 1));
-                fault(call.node, first_pause);
-                continue;
-            }
+        } else if (allowed && copies_ && part.out == 1) {
             // A second copy, for a part that is overdue, only while few are out and nothing presses.
+            const LeafCall& call = part.calls.back();
+            // Overdue: the node, which should answer once a slot, has said nothing for several since the call
+            // was sent.
             const bool overdue =
-                (now_ - call.sent_at > copy_after * usual_slot_ && silent(call.node, copy_after)) ||
-                !ready_[call.node];
-            if (copies_ && overdue && few_silent_ && !pressed_ && best_expected(part.shard) < 2 * service_ &&
+                (now_ - call.sent_at > copy_after * usual_slot_ && silent(call.node)) || !ready_[call.node];
+            if (overdue && few_silent_ && !pressed_ && best_expected(part.shard) < 2 * service_ &&
                 copies_out_ < copy_share * all_open_ + 1)
                 further_.push_back(i);
         }
