--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -39,6 +39,7 @@
 constexpr double copy_share = 0.1;       // copies out at a time, of all leaf calls out
 constexpr double usable_time = 0.65;     // of the time left, that what a query needs may be expected to take
 constexpr double lesser_time = 0.35;     // of the time left, for a late query or one over its tenant's share
+constexpr double at_rest = 4.0;          // times the quickest calls: what nodes without a backlog take
 constexpr double foreseen_share = 0.75;  // a part expected to take more of the time left counts as timed out
 constexpr Nanos first_pause = 250 * ms;  // for a failing node, doubled each time
 constexpr int most_doublings = 5;
@@ -588,7 +589,10 @@
     const Nanos left = !late                      ? q.slo_at - now_
                        : v.terms.late_utility > 0 ? std::min(q.end_by - now_, v.terms.slo)
                                                   : 0;
-    const double most = static_cast<double>(left) * (late || q.utility < 1 ? lesser_time : usable_time);
+    // No other is turned away from nodes at rest, however short its time.
+    const bool lesser = late || q.utility < 1;
+    const double most = lesser ? lesser_time * static_cast<double>(left)
+                               : std::max(usable_time * static_cast<double>(left), at_rest * service_);
     double in_time = 0;
     for (int j = 0; j < k; ++j) {
         const Part& part = parts_[q.parts[j]];
