--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -42,7 +42,7 @@
 constexpr double at_rest = 4.0;          // times the quickest calls: what nodes without a backlog take
 constexpr double foreseen_share = 0.75;  // a part expected to take more of the time left counts as timed out
 constexpr Nanos first_pause = 250 * ms;  // for a failing node, doubled each time
-constexpr int most_doublings = 5;
+constexpr int most_doublings = 3;
 constexpr double cold_use = 1.0;  // of what rule 4 leaves for a cold node
 
 struct Vertical {
@@ -373,7 +373,8 @@
 // what the list or a report says. Can harm where all replicas fail for a moment: then the least bad one is
 // asked.
 void QueryRouter::State::fault(std::uint32_t n, Nanos pause) {
-    paused_until_[n] = std::max(paused_until_[n], now_ + (pause << std::min(streak_[n], most_doublings)));
+    if (paused_until_[n] > now_) return;  // what fails of calls sent before the pause tells nothing new
+    paused_until_[n] = now_ + (pause << std::min(streak_[n], most_doublings));
     if (++streak_[n] < 3 || failing_[n]) return;
     failing_[n] = 1;
     log("node %u fails: %d faults, paused %lld ms", node_id_[n], streak_[n],
