--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -411,7 +411,7 @@
             failing_[n] = 0;
             log("node %u answers again: %d ms", node_id_[n], static_cast<int>(e.took / ms));
         }
-    } else if (e.outcome == cancelled || e.outcome == timeout) {
+    } else if (e.outcome == cancelled) {
         if (took > took_[n]) took_[n] += (took - took_[n]) * 0.2;  // it would have taken longer still
         if (slot > slot_[n]) slot_[n] += (slot - slot_[n]) * 0.2;  // it would have taken longer still
     }
