--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -172,33 +172,14 @@
 };
 
 QueryRouter::State::State(const Terms& t, std::uint64_t seed)
-    : over_share_utility_(t.over_share_utility),
-      places_(t.places),
-      width_(t.width),
-      shards_(t.shards),
-      call_cap_(t.call_cap),
-      routers_(std::max(1, t.routers)),
-      may_cancel_(t.may_cancel),
-      copies_(t.second_copies),
-      asks_(t.discovery == Discovery::ask),
-      advises_(t.retry_after),
-      marks_(t.marks_repeats),
-      step_(t.step),
-      margin_(2 * t.step + 3 * ms),
-      max_advice_(t.max_retry_after),
-      drain_grace_(t.drain_grace),
-      ask_within_(t.ask_within),
-      cold_from_(t.cold_from),
-      cold_sends_rate_(cold_use * t.tip_multiple / routers_),
-      cold_(t.cold),
-      fall_(t.fall),
-      budgeted_(t.budgeted),
-      budget_free_(t.budget_free),
-      resend_ratio_(t.resend_ratio),
-      budget_window_(t.budget_window),
-      chance_(seed),
-      at_place_(t.places),
-      turn_(t.shards) {
+    : over_share_utility_(t.over_share_utility), places_(t.places), width_(t.width), shards_(t.shards),
+      call_cap_(t.call_cap), routers_(std::max(1, t.routers)), may_cancel_(t.may_cancel),
+      copies_(t.second_copies), asks_(t.discovery == Discovery::ask), advises_(t.retry_after),
+      marks_(t.marks_repeats), step_(t.step), margin_(2 * t.step + 3 * ms), max_advice_(t.max_retry_after),
+      drain_grace_(t.drain_grace), ask_within_(t.ask_within), cold_from_(t.cold_from),
+      cold_sends_rate_(cold_use * t.tip_multiple / routers_), cold_(t.cold), fall_(t.fall),
+      budgeted_(t.budgeted), budget_free_(t.budget_free), resend_ratio_(t.resend_ratio),
+      budget_window_(t.budget_window), chance_(seed), at_place_(t.places), turn_(t.shards) {
     for (const VerticalTerms& v : t.verticals)
         verticals_.push_back({v, v.floor < v.need - sum_slack, 0, 0, 0});
     for (const double rate : t.allowances) tenants_.push_back({rate / routers_, 2 * rate / routers_, 0});
