--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -29,7 +29,7 @@
 constexpr double pressure_share = 0.05;
 constexpr double p_step = 0.25;  // of k, for a cut and for a climb
 constexpr Nanos cut_every = second;
-constexpr Nanos climb_every = second / 2;
+constexpr Nanos climb_every = 2 * second;
 constexpr double close_weights = 0.05;
 constexpr int widened = 3;
 // Ours.
@@ -614,7 +614,8 @@
     const Nanos for_second = q.step == 1 && v.terms.second_step > 0 ? static_cast<Nanos>(4 * usual_slot_) : 0;
     if (whole) return answer(q, q.step == 1 || q.whole);
     if (enough && (coming <= 0 || now_ >= q.slo_at - for_second)) return answer(q, false);
-    if (now_ >= q.end_by || in + coming + unasked < needed - sum_slack) return give_up(q, max_advice_ / 2);
+    const bool worthless = now_ >= q.slo_at && v.terms.late_utility <= 0;
+    if (now_ >= q.end_by || worthless || in + coming + unasked < needed - sum_slack) return give_up(q, max_advice_ / 2);
     if (in + coming < needed - sum_slack)  // parts were lost: the next heaviest take their place
         for (const std::uint32_t i : q.parts) parts_[i].planned = true;
 }
