--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -29,7 +29,7 @@
 constexpr double pressure_share = 0.05;
 constexpr double p_step = 0.25;  // of k, for a cut and for a climb
 constexpr Nanos cut_every = second;
-constexpr Nanos climb_every = 2 * second;
+constexpr Nanos climb_every = second / 2;
 constexpr double close_weights = 0.05;
 constexpr int widened = 3;
 // Ours.
