--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -274,7 +274,8 @@
         if (e.started_at != started_at_[n]) {  // a new process: what was learned of the old one is void
             started_at_[n] = e.started_at;
             slot_[n] = usual_slot_;
-            took_[n] = usual_took_;
+            took_[n] =
+                usual_took_ / std::sqrt(warmth(n));  // a cold one is slow until its own calls say otherwise
             ahead_[n] = 0;
             streak_[n] = 0;
             paused_until_[n] = 0;
@@ -615,7 +616,8 @@
     if (whole) return answer(q, q.step == 1 || q.whole);
     if (enough && (coming <= 0 || now_ >= q.slo_at - for_second)) return answer(q, false);
     const bool worthless = now_ >= q.slo_at && v.terms.late_utility <= 0;
-    if (now_ >= q.end_by || worthless || in + coming + unasked < needed - sum_slack) return give_up(q, max_advice_ / 2);
+    if (now_ >= q.end_by || worthless || in + coming + unasked < needed - sum_slack)
+        return give_up(q, max_advice_ / 2);
     if (in + coming < needed - sum_slack)  // parts were lost: the next heaviest take their place
         for (const std::uint32_t i : q.parts) parts_[i].planned = true;
 }
