--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -220,7 +220,6 @@
     }
     // Further leaf calls have a line of their own, served after the first ones.
     for (const std::uint32_t p : further_) {
-        if (queries_[parts_[p].query].ended) continue;  // answered or given up since it was put in line
         if (budget_left() && send(parts_[p]) && budgeted_) further_at_.push_back(now_);
     }
     std::erase_if(live_, [this](std::uint32_t i) {
@@ -596,7 +595,6 @@
         if (now_ >= q.end_by) give_up(q, 0);
         return;
     }
-    if (now_ < q.slo_at || v.terms.late_utility > 0) ask_further(q);
     double in = 0, coming = 0, unasked = 0;
     bool all_in = true;
     for (const std::uint32_t i : q.parts) {
@@ -620,6 +618,8 @@
         return give_up(q, max_advice_ / 2);
     if (in + coming < needed - sum_slack)  // parts were lost: the next heaviest take their place
         for (const std::uint32_t i : q.parts) parts_[i].planned = true;
+    // Last, so that no call goes out for a query, or a step of it, that has just been ended.
+    if (now_ < q.slo_at || v.terms.late_utility > 0) ask_further(q);
 }
 
 void QueryRouter::State::ask_further(Query& q) {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -147,10 +147,11 @@
 
 TEST_CASE("a query whose parts can't be in in time is rejected at once, with advice") {
     QueryRouter router = started();
-    for (std::uint32_t i = 0; i < 3; ++i)
-        ask_and_end(router, start, 10 + 10 * i, 1, {0.25, 0.25, 0.25, 0.25}, Outcome::ok, 3500 * ms);
+    ask_and_end(router, start - 100 * ms, 500, 1, {0.25, 0.25, 0.25, 0.25}, Outcome::ok, 50 * ms);
+    for (std::uint32_t i = 0; i < 12; ++i)
+        ask_and_end(router, start, 10 + 10 * i, 1, {0.25, 0.25, 0.25, 0.25}, Outcome::ok, 6000 * ms);
     const Kept kept =
-        play(router, start + 3600 * ms, [](ArrivalHandler& h) { arrive(h, 100, 1, start + 7600 * ms, {1}); });
+        play(router, start + 6100 * ms, [](ArrivalHandler& h) { arrive(h, 100, 1, start + 10100 * ms, {1}); });
     REQUIRE(kept.of(Sent::reject).size() == 1);
     CHECK(kept.of(Sent::reject)[0].span > 0);
     CHECK(kept.of(Sent::deliver).empty());
@@ -169,3 +170,74 @@
     REQUIRE(answers.size() == 1);
     CHECK(!answers[0].whole);
 }
+
+TEST_CASE("what is worth nothing after the SLO time is given up there") {
+    Terms terms = small_terms();
+    terms.verticals[1].late_utility = 0;
+    QueryRouter router = started(terms);
+    play(router, start, [](ArrivalHandler& h) { arrive(h, 10, 1, start + 4000 * ms, {1}); });
+    const Kept kept = play(router, start + 1995 * ms, [](ArrivalHandler&) {});
+    CHECK(kept.of(Sent::reject).size() == 1);
+    CHECK(kept.of(Sent::cancel).size() == 1);
+}
+
+TEST_CASE("calls that fail during a pause don't lengthen it") {
+    QueryRouter router = started(small_terms(), small_list(3));
+    Kept asked = play(router, start, [](ArrivalHandler& h) {
+        for (std::uint32_t i = 0; i < 9; ++i) arrive(h, 10 + 10 * i, 1, start + 4000 * ms, {1});
+    });
+    std::uint32_t failing = asked.of(Sent::deliver)[0].node;
+    play(router, start + 20 * ms, [&](ArrivalHandler& h) {
+        for (const Sent& s : asked.of(Sent::deliver))
+            h.on_leaf_end({s.id, s.node, 0, s.node == failing ? Outcome::reset : Outcome::ok, 20 * ms, {}});
+    });
+    // Three calls failed together: one pause of 250 ms, after which the node gets its turns again.
+    bool asked_again = false;
+    for (std::uint32_t i = 0; i < 3; ++i)
+        for (const Sent& s :
+             ask_and_end(router, start + (400 + 50 * i) * ms, 500 + 10 * i, 1, {1}, Outcome::ok, 20 * ms)
+                 .of(Sent::deliver))
+            asked_again |= s.node == failing;
+    CHECK(asked_again);
+}
+
+TEST_CASE("calls to a drained node stop at once, and a cold one gets few") {
+    std::vector<NodeEntry> list = small_list();
+    list[0].availability = Availability::draining;
+    list[1].started_at = start - 100 * ms;
+    QueryRouter router = started(small_terms(), list);
+    std::map<std::uint32_t, int> asked;
+    for (const Sent& s : play(router, start, [](ArrivalHandler& h) {
+                             for (std::uint32_t i = 0; i < 12; ++i)
+                                 arrive(h, 10 + 10 * i, 1, start + 4000 * ms, {1});
+                         }).of(Sent::deliver))
+        ++asked[s.node];
+    CHECK(asked[100] == 0);
+    CHECK(asked[101] <= 2);
+    CHECK(asked[102] >= 10);
+}
+
+TEST_CASE("an overdue part gets a second copy only while the other nodes answer") {
+    const int hung = GENERATE(1, 4);
+    QueryRouter router = started();
+    for (std::uint32_t i = 0; i < 8; ++i)
+        ask_and_end(router, start + i * 100 * ms, 10 + 10 * i, 1, {0.25, 0.25, 0.25, 0.25}, Outcome::ok,
+                    50 * ms);
+    const Nanos now = start + 1000 * ms;
+    const Kept out = play(router, now, [&](ArrivalHandler& h) {
+        arrive(h, 500, 1, now + 4000 * ms, std::vector<double>(16, 0.0625));
+    });
+    std::uint32_t ended = 0;
+    for (Nanos t = now + 50 * ms; t < now + 400 * ms; t += 50 * ms)
+        ended += static_cast<std::uint32_t>(
+            play(router, t,
+                 [&](ArrivalHandler& h) {
+                     if (t > now + 50 * ms) return;
+                     for (const Sent& s : out.of(Sent::deliver))
+                         if (static_cast<int>(s.node) >= 100 + hung)
+                             h.on_leaf_end({s.id, s.node, 0, Outcome::ok, 50 * ms, {}});
+                 })
+                .of(Sent::deliver)
+                .size());
+    CHECK((hung == 1) == (ended > 0));
+}
