--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -203,11 +203,11 @@
         ask_again_at_ = now_ + std::max(second, ask_within_ / 4);
     }
     keep_pressure();
-    // Where more than a quarter of the nodes in use are silent, it is the fleet that is slow: copies would
+    // Where more than a quarter of the nodes are silent, it is the fleet that is slow: copies would
     // slow it more.
-    int silent_nodes = 0, in_use = 0;
-    for (std::uint32_t n = 0; n < nodes_.size(); ++n) silent_nodes += silent(n), in_use += open_[n] > 0;
-    few_silent_ = 4 * silent_nodes <= in_use;
+    int silent_nodes = 0, listed = 0;
+    for (std::uint32_t n = 0; n < nodes_.size(); ++n) silent_nodes += silent(n), listed += ready_[n];
+    few_silent_ = 4 * silent_nodes <= listed;
     further_.clear();
     for (const std::uint32_t i : live_)
         if (!queries_[i].ended) settle(queries_[i]);
