--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -383,7 +383,7 @@
     }
     if (e.outcome == ok) {
         usual_slot_ += (slot - usual_slot_) * (usual_slot_ == 0 ? 1 : 0.02);
-        service_ += (took - service_) * (service_ == 0 ? 1 : took < service_ ? 0.2 : 0.01);
+        service_ += service_ == 0 ? took : took < service_ ? (took - service_) * 0.2 : service_ * 0.01;
         usual_took_ += (took / part.cost - usual_took_) * (usual_took_ == 0 ? 1 : 0.02);
         took_[n] += (took / part.cost - took_[n]) * (took_[n] == 0 ? 1 : 0.2);
         ahead_[n] += (call.ahead - ahead_[n]) * 0.2;
--- a/tests/simwire_test.cpp
+++ b/tests/simwire_test.cpp
@@ -23,46 +23,31 @@
     return out;
 }
 
-std::string batch(double clock_ms, const std::vector<std::string>& records) {
+template <typename... Values>
+std::string packed(Values... values) {
     std::string out;
-    put(out, clock_ms);
-    put(out, static_cast<std::uint32_t>(records.size()));
-    put(out, std::uint32_t{12});
+    (put(out, values), ...);
+    return out;
+}
+
+std::string batch(double clock_ms, const std::vector<std::string>& records) {
+    std::string out = packed(clock_ms, static_cast<std::uint32_t>(records.size()), std::uint32_t{12});
     for (const std::string& r : records) out += r;
     return out;
 }
 
 std::string init(const std::string& text = settings) {
-    std::string out = bytes("03 03000000 0100000000000000");
-    put(out, static_cast<std::uint32_t>(text.size()));
-    return out + text;
+    return bytes("03 03000000 0100000000000000") + packed(static_cast<std::uint32_t>(text.size())) + text;
 }
 
 std::string inventory(std::uint8_t page, std::uint32_t node, std::uint16_t place) {
-    std::string out = bytes("05");
-    put(out, page);
-    put(out, std::uint32_t{1});
-    put(out, node);
-    put(out, std::uint16_t{0});
-    put(out, std::uint8_t{0});
-    put(out, place);
-    put(out, std::uint8_t{1});
-    put(out, 1.0F);
-    put(out, 0.0);
-    return out;
+    return bytes("05") + packed(page, std::uint32_t{1}, node) + bytes("0000 00") + packed(place) +
+           bytes("01 0000803f 0000000000000000");
 }
 
 std::string demand(std::uint32_t id, float shard, float heft) {
-    std::string out = bytes("04 03000000");
-    put(out, id);
-    out += bytes("0000 00000000 0000000000000000");
-    put(out, 9000.0);
-    put(out, 0.0);
-    put(out, 1.0F);
-    put(out, shard);
-    put(out, heft);
-    put(out, std::uint16_t{0});
-    return out;
+    return bytes("04 03000000") + packed(id) + bytes("0000 00000000 0000000000000000") +
+           packed(9000.0, 0.0, 1.0F, shard, heft, std::uint16_t{0});
 }
 
 const std::string changed_delta = bytes("07 03000000 00 00 29000000");
