--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -105,6 +105,7 @@
     double expected(std::uint32_t n) const;
     double best_expected(std::uint32_t shard) const;
     bool silent(std::uint32_t n) const;
+    bool suspect(std::uint32_t n) const;
     double warmth(std::uint32_t n) const;
     bool cold_room(std::uint32_t n);
     std::uint32_t choose(const Part& part);
@@ -398,6 +399,11 @@
     }
     if ((e.outcome == full || e.outcome == timeout) && !part.late) ++recent_bad_[n];
     if (e.outcome == full) paused_until_[n] = std::max(paused_until_[n], now_ + first_pause);
+    // A call ended by us after a long wait, with not a word from the node in all that time, is as good as
+    // timed out: else a hung node looks fresh each time its calls are called off.
+    const bool in_vain =
+        e.outcome == cancelled && heard_at_[n] <= call.sent_at && took > copy_after * usual_took_;
+    if (in_vain) fault(n, first_pause);
     if (e.outcome == error || e.outcome == timeout || e.outcome == connect_failed || e.outcome == reset)
         fault(n, first_pause);
     Query& q = queries_[part.query];
@@ -423,6 +429,12 @@
     return open_[n] > 0 && now_ - heard_at_[n] > copy_after * std::max(slot_[n], usual_slot_);
 }
 
+// Paused, or back from a pause with its first call still out: one call tries the node, the others wait for
+// what it says.
+bool QueryRouter::State::suspect(std::uint32_t n) const {
+    return paused_until_[n] > now_ || (streak_[n] > 0 && open_[n] > 0 && heard_at_[n] < paused_until_[n]);
+}
+
 double QueryRouter::State::best_expected(std::uint32_t shard) const {
     double best = HUGE_VAL;
     for (int j = 0; j < width_; ++j)
@@ -465,9 +477,9 @@
                 std::any_of(part.calls.begin(), part.calls.end(), [n](auto& c) { return c.node == n; });
             if (!ready_[n] || asked || !cold_room(n)) continue;
             holders.push_back(n);
-            any_unpaused |= paused_until_[n] <= now_;
+            any_unpaused |= !suspect(n);
         }
-    const auto usable = [&](std::uint32_t n) { return !any_unpaused || paused_until_[n] <= now_; };
+    const auto usable = [&](std::uint32_t n) { return !any_unpaused || !suspect(n); };
     double best = HUGE_VAL;
     for (const std::uint32_t n : holders)
         if (usable(n)) best = std::min(best, expected(n));
@@ -483,7 +495,7 @@
 bool QueryRouter::State::send(Part& part) {
     const std::uint32_t n = choose(part);
     if (n == none) return false;
-    if (open_[n] == 0) heard_at_[n] = now_;
+    if (open_[n] == 0 && streak_[n] == 0) heard_at_[n] = now_;
     part.calls.push_back({n, now_, static_cast<Nanos>(expected(n) * part.cost), open_[n], true, true});
     if (part.out > 0) ++copies_out_;
     ++part.out;
