--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -104,7 +104,7 @@
     void fault(std::uint32_t n, Nanos pause);
     double expected(std::uint32_t n) const;
     double best_expected(std::uint32_t shard) const;
-    bool silent(std::uint32_t n) const;
+    bool silent(std::uint32_t n, double slots) const;
     bool suspect(std::uint32_t n) const;
     double warmth(std::uint32_t n) const;
     bool cold_room(std::uint32_t n);
@@ -207,8 +207,13 @@
     // Where more than a quarter of the nodes are silent, it is the fleet that is slow: copies would
     // slow it more.
     int silent_nodes = 0, listed = 0;
-    for (std::uint32_t n = 0; n < nodes_.size(); ++n) silent_nodes += silent(n), listed += ready_[n];
+    for (std::uint32_t n = 0; n < nodes_.size(); ++n)
+        silent_nodes += silent(n, copy_after), listed += ready_[n];
     few_silent_ = 4 * silent_nodes <= listed;
+    // A node silent for twice that is paused before any of its calls has timed out, so that no more get stuck
+    // there.
+    for (std::uint32_t n = 0; few_silent_ && n < nodes_.size(); ++n)
+        if (!suspect(n) && silent(n, 2 * copy_after)) fault(n, first_pause);
     further_.clear();
     for (const std::uint32_t i : live_)
         if (!queries_[i].ended) settle(queries_[i]);
@@ -425,8 +430,8 @@
 }
 
 // A node that should answer about once a slot, and has not for several.
-bool QueryRouter::State::silent(std::uint32_t n) const {
-    return open_[n] > 0 && now_ - heard_at_[n] > copy_after * std::max(slot_[n], usual_slot_);
+bool QueryRouter::State::silent(std::uint32_t n, double slots) const {
+    return open_[n] > 0 && now_ - heard_at_[n] > slots * std::max(slot_[n], usual_slot_);
 }
 
 // Paused, or back from a pause with its first call still out: one call tries the node, the others wait for
@@ -650,7 +655,8 @@
             // Overdue: the node, which should answer once a slot, has said nothing for several since the call
             // was sent.
             const bool overdue =
-                (now_ - call.sent_at > copy_after * usual_slot_ && silent(call.node)) || !ready_[call.node];
+                (now_ - call.sent_at > copy_after * usual_slot_ && silent(call.node, copy_after)) ||
+                !ready_[call.node];
             if (overdue && few_silent_ && !pressed_ && best_expected(part.shard) < 2 * service_ &&
                 copies_out_ < copy_share * all_open_ + 1)
                 further_.push_back(i);
