--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -35,7 +35,7 @@
 // Ours.
 constexpr double sum_slack = 2e-5;       // a sum of rounded weights misses its value by less
 constexpr double pass_over = 1.2;        // a replica this many times as slow as the best loses its turn
-constexpr double copy_after = 3.0;       // a leaf call out this many times its expected time may be copied
+constexpr double copy_after = 2.0;       // a leaf call out this many times its expected time may be copied
 constexpr double copy_share = 0.1;       // copies out at a time, of all leaf calls out
 constexpr double usable_time = 0.65;     // of the time left, that what a query needs may be expected to take
 constexpr double lesser_time = 0.35;     // of the time left, for a late query or one over its tenant's share
@@ -104,7 +104,7 @@
     void fault(std::uint32_t n, Nanos pause);
     double expected(std::uint32_t n) const;
     double best_expected(std::uint32_t shard) const;
-    bool silent(std::uint32_t n, double slots) const;
+    bool silent(std::uint32_t n, double times) const;
     bool suspect(std::uint32_t n) const;
     double warmth(std::uint32_t n) const;
     bool cold_room(std::uint32_t n);
@@ -149,13 +149,12 @@
     std::vector<char> ready_, failing_;  // failing: logged as such
     std::vector<Nanos> started_at_, heard_at_, paused_until_;
     std::vector<double> took_, ahead_;  // what a leaf call took lately, with so many of ours ahead of it
-    std::vector<double> slot_;  // time an own leaf call takes, for each one on the node, itself counted
     std::vector<int> open_, streak_;
     std::vector<int> recent_ended_, recent_bad_;  // since the last look at pressure
     std::vector<std::deque<Nanos>> cold_sent_;
     std::vector<std::vector<std::uint32_t>> at_place_;
     std::vector<std::uint32_t> turn_;  // per shard
-    double usual_slot_ = 0, usual_took_ = 0, service_ = 0, usual_hint_ = 0;
+    double usual_took_ = 0, service_ = 0, usual_hint_ = 0;
     int all_open_ = 0, copies_out_ = 0;
     double repeats_due_ = 0;  // tries given up lately that may come again unmarked
 
@@ -213,7 +212,7 @@
     // A node silent for twice that is paused before any of its calls has timed out, so that no more get stuck
     // there.
     for (std::uint32_t n = 0; few_silent_ && n < nodes_.size(); ++n)
-        if (!suspect(n) && silent(n, 2 * copy_after)) fault(n, first_pause);
+        if (!suspect(n) && silent(n, 1.5 * copy_after)) fault(n, first_pause);
     further_.clear();
     for (const std::uint32_t i : live_)
         if (!queries_[i].ended) settle(queries_[i]);
@@ -253,7 +252,6 @@
         started_at_.push_back(0);
         heard_at_.push_back(0);
         paused_until_.push_back(0);
-        slot_.push_back(usual_slot_);
         took_.push_back(usual_took_);
         ahead_.push_back(0);
         open_.push_back(0);
@@ -278,7 +276,6 @@
         if (e.availability == Availability::gone) continue;
         if (e.started_at != started_at_[n]) {  // a new process: what was learned of the old one is void
             started_at_[n] = e.started_at;
-            slot_[n] = usual_slot_;
             took_[n] =
                 usual_took_ / std::sqrt(warmth(n));  // a cold one is slow until its own calls say otherwise
             ahead_[n] = 0;
@@ -382,25 +379,21 @@
     using enum Outcome;
     if (e.outcome == full || e.outcome == connect_failed || e.outcome == moot) call.may_have_run = false;
     const double took = static_cast<double>(e.took);
-    const double slot = took / part.cost / (call.ahead + 1);
     if (e.outcome != moot && e.outcome != cancelled) {
         heard_at_[n] = now_;
         ++recent_ended_[n];
     }
     if (e.outcome == ok) {
-        usual_slot_ += (slot - usual_slot_) * (usual_slot_ == 0 ? 1 : 0.02);
         service_ += service_ == 0 ? took : took < service_ ? (took - service_) * 0.2 : service_ * 0.01;
         usual_took_ += (took / part.cost - usual_took_) * (usual_took_ == 0 ? 1 : 0.02);
         took_[n] += (took / part.cost - took_[n]) * (took_[n] == 0 ? 1 : 0.2);
         ahead_[n] += (call.ahead - ahead_[n]) * 0.2;
-        slot_[n] += (slot - slot_[n]) * (slot_[n] == 0 ? 1 : 0.2);
         if (streak_[n] > 0 && --streak_[n] == 0 && failing_[n]) {
             failing_[n] = 0;
             log("node %u answers again: %d ms", node_id_[n], static_cast<int>(e.took / ms));
         }
     } else if (e.outcome == cancelled) {
         if (took > took_[n]) took_[n] += (took - took_[n]) * 0.2;  // it would have taken longer still
-        if (slot > slot_[n]) slot_[n] += (slot - slot_[n]) * 0.2;  // it would have taken longer still
     }
     if ((e.outcome == full || e.outcome == timeout) && !part.late) ++recent_bad_[n];
     if (e.outcome == full) paused_until_[n] = std::max(paused_until_[n], now_ + first_pause);
@@ -429,9 +422,9 @@
     return open_[n] == 0 ? by_line : std::max(by_line, static_cast<double>(now_ - heard_at_[n]));
 }
 
-// A node that should answer about once a slot, and has not for several.
-bool QueryRouter::State::silent(std::uint32_t n, double slots) const {
-    return open_[n] > 0 && now_ - heard_at_[n] > slots * std::max(slot_[n], usual_slot_);
+// A node that holds calls of ours and has said nothing for several times what calls take.
+bool QueryRouter::State::silent(std::uint32_t n, double times) const {
+    return open_[n] > 0 && now_ - heard_at_[n] > times * std::max(took_[n], usual_took_);
 }
 
 // Paused, or back from a pause with its first call still out: one call tries the node, the others wait for
@@ -554,8 +547,7 @@
         repeats_due_ *= 0.8;
         std::fill(recent_bad_.begin(), recent_bad_.end(), 0);
         std::fill(recent_ended_.begin(), recent_ended_.end(), 0);
-        for (double& slot : slot_) slot += (usual_slot_ - slot) * 0.05;  // what was seen long ago fades
-        for (double& took : took_) took += (usual_took_ - took) * 0.05;
+        for (double& took : took_) took += (usual_took_ - took) * 0.05;  // what was seen long ago fades
     }
     if (!pressed_ && now_ - climbed_at_ >= climb_every) {
         for (Vertical& v : verticals_) v.p = std::min(v.k, v.p + std::max(1.0, p_step * v.k));
@@ -627,7 +619,8 @@
     const double needed = v.partial ? v.terms.floor : q.step == 1 ? v.terms.need : 1;
     const bool whole = q.step == 1 ? in >= v.terms.need - sum_slack : all_in;
     const bool enough = v.partial && in >= needed - sum_slack;
-    const Nanos for_second = q.step == 1 && v.terms.second_step > 0 ? static_cast<Nanos>(4 * usual_slot_) : 0;
+    const Nanos for_second =
+        q.step == 1 && v.terms.second_step > 0 ? static_cast<Nanos>(1.5 * usual_took_) : 0;
     if (whole) return answer(q, q.step == 1 || q.whole);
     if (enough && (coming <= 0 || now_ >= q.slo_at - for_second)) return answer(q, false);
     const bool worthless = now_ >= q.slo_at && v.terms.late_utility <= 0;
@@ -652,10 +645,8 @@
         } else if (allowed && copies_ && part.out == 1) {
             // A second copy, for a part that is overdue, only while few are out and nothing presses.
             const LeafCall& call = part.calls.back();
-            // Overdue: the node, which should answer once a slot, has said nothing for several since the call
-            // was sent.
             const bool overdue =
-                (now_ - call.sent_at > copy_after * usual_slot_ && silent(call.node, copy_after)) ||
+                (now_ - call.sent_at > copy_after * usual_took_ && silent(call.node, copy_after)) ||
                 !ready_[call.node];
             if (overdue && few_silent_ && !pressed_ && best_expected(part.shard) < 2 * service_ &&
                 copies_out_ < copy_share * all_open_ + 1)
