--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -23,6 +23,7 @@
 
 constexpr Nanos ms = 1'000'000;
 constexpr Nanos second = 1000 * ms;
+constexpr Nanos never = INT64_MAX;
 constexpr std::uint32_t none = IdIndex::none;
 
 // The design's figures. Pressure share, step sizes and margin are open; these are the page's own values.
@@ -94,9 +95,7 @@
     void on_query(const QueryArrival& arrival) override;
     void on_part(const PartArrival& arrival) override;
     void on_leaf_end(const LeafEnd& end) override;
-    void on_stream(std::uint32_t) override {}
     void on_dropped(std::uint32_t query) override;
-    void on_probe_end(std::uint32_t, Outcome, std::span<const float>) override {}
     void on_timer(std::uint64_t) override { beat_set_ = false; }
 
   private:
@@ -129,8 +128,8 @@
     std::vector<TenantShare> tenants_;
     double over_share_utility_;
     int places_, width_, shards_, call_cap_, routers_;
-    bool may_cancel_, copies_, asks_, advises_, marks_;
-    Nanos step_, margin_, max_advice_, drain_grace_, ask_within_;
+    bool may_cancel_, copies_, advises_, marks_;
+    Nanos step_, margin_, max_advice_, ask_within_;
     double cold_from_, cold_sends_rate_;
     Nanos cold_, fall_;
     bool budgeted_;
@@ -141,7 +140,7 @@
     Nanos now_ = 0;
     DecisionWriter* writer_ = nullptr;
     bool beat_set_ = false;
-    Nanos ask_again_at_ = 0;
+    Nanos ask_again_at_ = never;
 
     // Nodes, in parallel arrays under the index of their id.
     IdIndex nodes_;
@@ -174,15 +173,15 @@
 QueryRouter::State::State(const Terms& t, std::uint64_t seed)
     : over_share_utility_(t.over_share_utility), places_(t.places), width_(t.width), shards_(t.shards),
       call_cap_(t.call_cap), routers_(std::max(1, t.routers)), may_cancel_(t.may_cancel),
-      copies_(t.second_copies), asks_(t.discovery == Discovery::ask), advises_(t.retry_after),
-      marks_(t.marks_repeats), step_(t.step), margin_(2 * t.step + 3 * ms), max_advice_(t.max_retry_after),
-      drain_grace_(t.drain_grace), ask_within_(t.ask_within), cold_from_(t.cold_from),
-      cold_sends_rate_(cold_use * t.tip_multiple / routers_), cold_(t.cold), fall_(t.fall),
-      budgeted_(t.budgeted), budget_free_(t.budget_free), resend_ratio_(t.resend_ratio),
+      copies_(t.second_copies), advises_(t.retry_after), marks_(t.marks_repeats), step_(t.step),
+      margin_(2 * t.step + 3 * ms), max_advice_(t.max_retry_after), ask_within_(t.ask_within),
+      cold_from_(t.cold_from), cold_sends_rate_(cold_use * t.tip_multiple / routers_), cold_(t.cold),
+      fall_(t.fall), budgeted_(t.budgeted), budget_free_(t.budget_free), resend_ratio_(t.resend_ratio),
       budget_window_(t.budget_window), chance_(seed), at_place_(t.places), turn_(t.shards) {
     for (const VerticalTerms& v : t.verticals)
         verticals_.push_back({v, v.floor < v.need - sum_slack, 0, 0, 0});
     for (const double rate : t.allowances) tenants_.push_back({rate / routers_, 2 * rate / routers_, 0});
+    if (t.discovery == Discovery::ask) ask_again_at_ = 0;
     for (auto& turn : turn_) turn = static_cast<std::uint32_t>(chance_());
 }
 
@@ -198,9 +197,9 @@
     now_ = now;
     writer_ = &writer;
     arrivals.play(*this);
-    if (asks_ && now_ >= ask_again_at_) {
+    if (now_ >= ask_again_at_) {
         writer_->listen();
-        ask_again_at_ = now_ + std::max(second, ask_within_ / 4);
+        ask_again_at_ = now_ + std::max(second, ask_within_ / 4);  // unless an answer comes first
     }
     keep_pressure();
     // Where more than a quarter of the nodes are silent, it is the fleet that is slow: copies would
@@ -233,7 +232,7 @@
         forget(i);
         return true;
     });
-    if ((!live_.empty() || asks_) && !beat_set_) {
+    if ((!live_.empty() || ask_again_at_ != never) && !beat_set_) {
         beat_set_ = true;
         writer_->wake(0, step_);
     }
@@ -265,9 +264,10 @@
 
 void QueryRouter::State::on_nodes(ListKind kind, std::span<const NodeEntry> entries) {
     if (kind == ListKind::failed) {
-        ask_again_at_ = std::min(ask_again_at_, now_ + second);
+        ask_again_at_ = now_ + second;
         return;
     }
+    if (kind != ListKind::cached) ask_again_at_ = never;  // the subscription stands
     if (kind != ListKind::delta) std::fill(ready_.begin(), ready_.end(), 0);
     for (const NodeEntry& e : entries) {
         const std::uint32_t n = node_index(e.node);
--- a/src/router/query_router.hpp
+++ b/src/router/query_router.hpp
@@ -32,12 +32,10 @@
     Nanos slo = 0;            // an answer within this time earns its full utility
     Nanos deadline = 0;       // how long a client waits over all its tries
     Nanos repeat_window = 0;  // deduplicated: for how long repeats are dropped
-    double utility = 1;
-    double late_utility = 0;   // share of the utility after the SLO time
-    double floor = 1;          // least share of the parts' weight for an answer
-    double need = 1;           // share that makes a whole answer
-    double short_utility = 1;  // an answer not whole earns this times share / need
-    int second_step = 0;       // parts of a second step; 0 for none
+    double late_utility = 0;  // share of the utility after the SLO time
+    double floor = 1;         // least share of the parts' weight for an answer
+    double need = 1;          // share that makes a whole answer
+    int second_step = 0;      // parts of a second step; 0 for none
 };
 
 // What a deployment states when a query router starts.
@@ -46,17 +44,14 @@
     std::vector<double> allowances;  // per tenant, queries a second over all query routers
     double over_share_utility = 1;   // what a query over its tenant's share keeps
     int routers = 1;
-    int zone = 0;
     Nanos step = 0;  // rounds come at most this often
     Discovery discovery = Discovery::push;
     int places = 1;  // shard s lies at places (s + j) mod this ...
     int width = 1;   // ... for j below this
     int shards = 1;
     int call_cap = 1;  // most leaf calls of a part
-    int held_cap = 0;  // queries and parts held at most, 0 where not stated
     bool may_cancel = false;
     bool second_copies = false;
-    bool may_probe = false;
     bool retry_after = false;
     bool marks_repeats = false;  // clients mark a try that is not their first
     Nanos max_retry_after = 0;
@@ -70,18 +65,12 @@
     double budget_free = 0;
     double resend_ratio = 0;
     Nanos budget_window = 0;
-    int reported_open = -1;  // place of the requests in hand in a load report, -1 if not reported
-    int reported_line = -1;  // place of the requests waiting
-    double cross_zone_price = 0;
-    double probe_price = 0;
 };
 
 struct NodeEntry {
     std::uint32_t node = 0;
-    std::uint16_t zone = 0;
     std::uint16_t place = 0;
     Availability availability = Availability::gone;
-    float size = 1;
     Nanos started_at = 0;  // 0: long ago
 };
 
@@ -100,7 +89,6 @@
     std::uint32_t shard = 0;
     double weight = 0;
     Nanos hint = 0;  // a guess of its cost, 0 for none
-    std::uint64_t key = 0;
 };
 
 struct LeafEnd {
@@ -109,7 +97,6 @@
     std::uint8_t attempt = 0;
     Outcome outcome = Outcome::moot;
     Nanos took = 0;
-    std::span<const float> report = {};
 };
 
 // Called by `Arrivals::play`, one call a record, in the order in which they came in.
@@ -120,9 +107,7 @@
     virtual void on_query(const QueryArrival& arrival) = 0;
     virtual void on_part(const PartArrival& arrival) = 0;
     virtual void on_leaf_end(const LeafEnd& end) = 0;
-    virtual void on_stream(std::uint32_t part) = 0;
     virtual void on_dropped(std::uint32_t query) = 0;
-    virtual void on_probe_end(std::uint32_t node, Outcome outcome, std::span<const float> report) = 0;
     virtual void on_timer(std::uint64_t cookie) = 0;
 };
 
@@ -144,8 +129,6 @@
     virtual void abort(std::uint32_t query) = 0;
     virtual void wake(std::uint64_t cookie, Nanos wait) = 0;
     virtual void listen() = 0;
-    virtual void fetch_list() = 0;
-    virtual void probe(std::uint32_t node) = 0;
     virtual void log(const std::string& line) = 0;
 };
 
--- a/src/simwire/adapter.cpp
+++ b/src/simwire/adapter.cpp
@@ -28,8 +28,6 @@
     record = 67,
     deliver = 68,
     listen = 69,
-    check = 70,
-    query_all = 72,
     abort_attempt = 74,
     overload_reply = 76,
     surrender = 77
@@ -88,13 +86,13 @@
     std::vector<NodeEntry> entries(r.take<std::uint32_t>());
     for (NodeEntry& e : entries) {
         e.node = r.take<std::uint32_t>();
-        e.zone = r.take<std::uint16_t>();
-        r.take<std::uint8_t>();  // the machine kind
+        r.take<std::uint16_t>();  // the zone
+        r.take<std::uint8_t>();   // the machine kind
         e.place = r.take<std::uint16_t>();
         const auto availability = r.take<std::uint8_t>();
         if (availability > 2) throw Malformed("unknown availability " + std::to_string(availability));
         e.availability = static_cast<Availability>(availability);
-        e.size = r.take<float>();
+        r.take<float>();  // the size: own outcomes tell more
         e.started_at = r.take_time("started_at");
     }
     return entries;
@@ -106,12 +104,6 @@
     return static_cast<Outcome>(code);
 }
 
-std::vector<float> read_report(Reader& r) {
-    std::vector<float> report(r.take<std::uint8_t>());
-    for (float& value : report) value = r.take<float>();
-    return report;
-}
-
 std::uint32_t whole_number(float value, const char* what) {
     if (!(value >= 0 && value < 4e9F) || value != std::floor(value))
         throw Malformed(std::string(what) + " is not a whole number");
@@ -148,29 +140,17 @@
                     e.outcome = read_outcome(r);
                     r.take<std::uint8_t>();  // whether the part is still open: the module knows
                     e.attempt = r.take<std::uint8_t>();
-                    const auto report = read_report(r);
-                    e.report = report;
                     handler.on_leaf_end(e);
                     break;
                 }
-                case headers:
-                    handler.on_stream(r.take<std::uint32_t>());
-                    break;
                 case dropped:
                     handler.on_dropped(r.take<std::uint32_t>());
                     break;
-                case sampled: {
-                    const auto node = r.take<std::uint32_t>();
-                    const Outcome outcome = read_outcome(r);
-                    r.take_time("rtt");
-                    handler.on_probe_end(node, outcome, read_report(r));
-                    break;
-                }
                 case wakeup:
                     handler.on_timer(r.take<std::uint64_t>());
                     break;
                 default:
-                    break;  // inbox: this router sends its peers nothing
+                    break;  // of peers, streams and probes: this router starts none
             }
         }
     }
@@ -180,7 +160,7 @@
         const auto id = r.take<std::uint32_t>();
         const auto vertical = r.take<std::uint16_t>();
         const auto tenant = r.take<std::uint32_t>();
-        const auto key = r.take<std::uint64_t>();
+        r.take<std::uint64_t>();  // the key
         const Nanos give_up_at = r.take_time("give_up_at");
         const Nanos hint = r.take_time("hint");
         const auto ask = whole_number(r.take<float>(), "ask_no");
@@ -193,7 +173,7 @@
         const auto shard = whole_number(slice, "slice");
         if (shard >= instance_.shards) throw Malformed("a demand names a shard beyond extra.ranges");
         if (!std::isfinite(heft)) throw Malformed("heft is not a number");
-        handler.on_part({id, ask, shard, heft, (opts & 1) != 0 ? hint : 0, key});
+        handler.on_part({id, ask, shard, heft, (opts & 1) != 0 ? hint : 0});
     }
 
     const Instance& instance_;
@@ -232,8 +212,6 @@
         start(Action::listen);
         put(out_, std::uint8_t{1});
     }
-    void fetch_list() override { start(query_all); }
-    void probe(std::uint32_t node) override { start(check, node); }
     void log(const std::string& line) override {
         start(record);
         put(out_, static_cast<std::uint16_t>(line.size()));
--- a/src/simwire/settings_text.cpp
+++ b/src/simwire/settings_text.cpp
@@ -64,13 +64,6 @@
     throw Malformed("unknown semantics '" + name + "'");
 }
 
-int field_place(const Json& load_info, const char* name) {
-    const auto fields = load_info.find("fields");
-    if (fields == load_info.end() || !fields->is_array()) return -1;
-    const auto it = std::find(fields->begin(), fields->end(), name);
-    return it == fields->end() ? -1 : static_cast<int>(it - fields->begin());
-}
-
 Terms terms_of(const Json& in) {
     Terms t;
     const Json& extra = required(in, "extra");
@@ -86,11 +79,9 @@
         v.slo = span(s, "promise");
         v.deadline = span(s, "deadline");
         v.repeat_window = span(s, "repeat_window", 0);
-        v.utility = number(s, "value", 1);
         v.late_utility = number(s, "late_worth", 0);
         v.need = of_class(extra, "complete_from", i, 1);
         v.floor = of_class(extra, "floor_by_class", i, v.need);
-        v.short_utility = of_class(extra, "short_worth", i, 1);
         v.second_step = static_cast<int>(of_class(extra, "second_step", i, 0));
         t.verticals.push_back(v);
     }
@@ -98,17 +89,14 @@
         for (const Json& tenant : *projects) t.allowances.push_back(number(tenant, "allowance_per_s", 1e9));
     t.over_share_utility = number(in, "over_share_worth", 1);
     t.routers = std::max(1, static_cast<int>(number(in, "balancers", 1)));
-    t.zone = static_cast<int>(number(in, "my_zone", 0));
     t.step = span(in, "step");
     t.discovery = text(in, "discovery", "push") == "ask" ? Discovery::ask : Discovery::push;
     t.places = whole(extra, "places", 1);
     t.width = std::min(whole(extra, "width", 1), t.places);
     t.shards = whole(extra, "ranges", 1);
     t.call_cap = whole(limits, "send_cap", 1);
-    t.held_cap = static_cast<int>(number(limits, "most_held", 0));
     t.may_cancel = flag(limits, "may_cancel");
     t.second_copies = flag(limits, "second_copies");
-    t.may_probe = flag(limits, "probing");
     t.retry_after = flag(limits, "retry_after");
     if (const auto callers = in.find("callers"); callers != in.end())
         t.marks_repeats = flag(*callers, "marks_retry");
@@ -123,14 +111,6 @@
     t.budget_free = number(safety, "budget_free", 0);
     t.resend_ratio = number(safety, "resend_ratio", 0);
     t.budget_window = span(safety, "budget_window", 0);
-    if (const auto info = in.find("load_info"); info != in.end() && info->is_object()) {
-        t.reported_open = field_place(*info, "active");
-        t.reported_line = field_place(*info, "waiting");
-    }
-    if (const auto charges = in.find("charges"); charges != in.end() && charges->is_object()) {
-        t.cross_zone_price = number(*charges, "cross_zone", 0);
-        t.probe_price = number(*charges, "probe", 0);
-    }
     return t;
 }
 
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -12,7 +12,7 @@
 constexpr Nanos ms = 1'000'000;
 
 struct Sent {
-    enum Kind { deliver, cancel, answer, reject, abort, wake, listen, probe, log } kind;
+    enum Kind { deliver, cancel, answer, reject, abort, wake, listen, log } kind;
     std::uint32_t id = 0, node = 0;
     bool whole = false;
     std::uint8_t attempt = 0;
@@ -37,8 +37,6 @@
     void abort(std::uint32_t query) override { sent.push_back({Sent::abort, query}); }
     void wake(std::uint64_t, Nanos wait) override { sent.push_back({Sent::wake, 0, 0, false, 0, wait}); }
     void listen() override { sent.push_back({Sent::listen}); }
-    void fetch_list() override { sent.push_back({Sent::listen}); }
-    void probe(std::uint32_t node) override { sent.push_back({Sent::probe, 0, node}); }
     void log(const std::string& line) override { sent.push_back({Sent::log, 0, 0, false, 0, 0, line}); }
 
     std::vector<Sent> of(Sent::Kind kind) const {
@@ -102,7 +100,7 @@
     std::vector<NodeEntry> list;
     for (int p = 0; p < places; ++p)
         list.push_back(
-            {100U + static_cast<unsigned>(p), 0, static_cast<std::uint16_t>(p), Availability::ready, 1, 0});
+            {100U + static_cast<unsigned>(p), static_cast<std::uint16_t>(p), Availability::ready, 0});
     return list;
 }
 
@@ -110,8 +108,7 @@
 inline void arrive(ArrivalHandler& h, std::uint32_t id, std::uint16_t vertical, Nanos give_up_at,
                    const std::vector<double>& weights, std::uint32_t shards = 4) {
     h.on_query({id, id, vertical, 0, give_up_at, false});
-    for (std::uint32_t i = 0; i < weights.size(); ++i)
-        h.on_part({id + 1 + i, id, i % shards, weights[i], 0, 0});
+    for (std::uint32_t i = 0; i < weights.size(); ++i) h.on_part({id + 1 + i, id, i % shards, weights[i], 0});
 }
 
 }  // namespace tealcart::test
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -35,7 +35,7 @@
              std::uint32_t odd = 0, Outcome odd_outcome = Outcome::ok) {
     play(router, now, [&](ArrivalHandler& h) {
         for (const Sent& s : calls)
-            h.on_leaf_end({s.id, s.node, 0, s.node == odd ? odd_outcome : outcome, took, {}});
+            h.on_leaf_end({s.id, s.node, 0, s.node == odd ? odd_outcome : outcome, took});
     });
 }
 
@@ -207,3 +207,17 @@
     CHECK(kept.of(Sent::reject).at(0).id == 50);
     CHECK(kept.of(Sent::cancel).size() == 2);
 }
+
+TEST_CASE("where lists must be asked for, one subscription is kept") {
+    Terms terms = small_terms();
+    terms.discovery = Discovery::ask;
+    QueryRouter router(terms, 7);
+    const auto told = [](ListKind kind) {
+        return [kind](ArrivalHandler& h) { h.on_nodes(kind, small_list()); };
+    };
+    CHECK(play(router, start, told(ListKind::cached)).of(Sent::listen).size() == 1);
+    CHECK(play(router, start + 100 * ms, told(ListKind::failed)).of(Sent::listen).empty());
+    CHECK(play(router, start + 1200 * ms, nothing).of(Sent::listen).size() == 1);
+    CHECK(play(router, start + 1300 * ms, told(ListKind::full)).of(Sent::wake).empty());
+    CHECK(play(router, start + 60'000 * ms, nothing).of(Sent::listen).empty());
+}
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -190,7 +190,7 @@
                         model.parts[next_id] = {query, shard, weight, {}, false, step};
                         ++model.queries[query].parts[step];
                         model.taken(now);
-                        h.on_part({next_id, query, shard, weight, 0, 0});
+                        h.on_part({next_id, query, shard, weight, 0});
                     }
                 };
                 for (const std::uint32_t id : second) add_parts(id, 2, 2);
@@ -222,7 +222,7 @@
                 const Outcome outcome = draw(10) < 7 ? Outcome::ok : bad[draw(6)];
                 const Nanos took = outcome == Outcome::ok ? service + draw(50) * ms : draw(2500) * ms;
                 const auto attempt = static_cast<std::uint8_t>(model.parts.at(s.id).calls.size() - 1);
-                due.emplace(now + terms.step + took, LeafEnd{s.id, s.node, attempt, outcome, took, {}});
+                due.emplace(now + terms.step + took, LeafEnd{s.id, s.node, attempt, outcome, took});
             }
         }
         for (const auto& [id, q] : model.queries) REQUIRE(q.ends == 1);
