--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -36,7 +36,8 @@
 // Ours.
 constexpr double sum_slack = 2e-5;       // a sum of rounded weights misses its value by less
 constexpr double pass_over = 1.2;        // a replica this many times as slow as the best loses its turn
-constexpr double copy_after = 2.0;       // a leaf call out this many times its expected time may be copied
+constexpr double copy_after = 2.0;       // times what calls take: silence after which a part may be copied
+constexpr double hang_after = 3.0;       // the same, after which a node is paused
 constexpr double copy_share = 0.1;       // copies out at a time, of all leaf calls out
 constexpr double usable_time = 0.65;     // of the time left, that what a query needs may be expected to take
 constexpr double lesser_time = 0.35;     // of the time left, for a late query or one over its tenant's share
@@ -56,7 +57,6 @@
 struct LeafCall {
     std::uint32_t node = none;
     Nanos sent_at = 0;
-    Nanos expected = 0;
     int ahead = 0;  // our leaf calls on the node when it was sent
     bool out = true, may_have_run = true;
 };
@@ -127,7 +127,7 @@
     std::vector<Vertical> verticals_;
     std::vector<TenantShare> tenants_;
     double over_share_utility_;
-    int places_, width_, shards_, call_cap_, routers_;
+    int places_, width_, call_cap_, routers_;
     bool may_cancel_, copies_, advises_, marks_;
     Nanos step_, margin_, max_advice_, ask_within_;
     double cold_from_, cold_sends_rate_;
@@ -166,17 +166,16 @@
 
     Nanos looked_at_ = 0, climbed_at_ = 0;
     bool pressed_ = false, few_silent_ = true;
-    int foreseen_ = 0,
-        foreseen_bad_ = 0;  // parts planned since the last look, and those that seemed to come too late
+    int foreseen_ = 0, foreseen_bad_ = 0;  // parts planned since the last look; of these, seemingly too late
 };
 
 QueryRouter::State::State(const Terms& t, std::uint64_t seed)
-    : over_share_utility_(t.over_share_utility), places_(t.places), width_(t.width), shards_(t.shards),
-      call_cap_(t.call_cap), routers_(std::max(1, t.routers)), may_cancel_(t.may_cancel),
-      copies_(t.second_copies), advises_(t.retry_after), marks_(t.marks_repeats), step_(t.step),
-      margin_(2 * t.step + 3 * ms), max_advice_(t.max_retry_after), ask_within_(t.ask_within),
-      cold_from_(t.cold_from), cold_sends_rate_(cold_use * t.tip_multiple / routers_), cold_(t.cold),
-      fall_(t.fall), budgeted_(t.budgeted), budget_free_(t.budget_free), resend_ratio_(t.resend_ratio),
+    : over_share_utility_(t.over_share_utility), places_(t.places), width_(t.width), call_cap_(t.call_cap),
+      routers_(std::max(1, t.routers)), may_cancel_(t.may_cancel), copies_(t.second_copies),
+      advises_(t.retry_after), marks_(t.marks_repeats), step_(t.step), margin_(2 * t.step + 3 * ms),
+      max_advice_(t.max_retry_after), ask_within_(t.ask_within), cold_from_(t.cold_from),
+      cold_sends_rate_(cold_use * t.tip_multiple / routers_), cold_(t.cold), fall_(t.fall),
+      budgeted_(t.budgeted), budget_free_(t.budget_free), resend_ratio_(t.resend_ratio),
       budget_window_(t.budget_window), chance_(seed), at_place_(t.places), turn_(t.shards) {
     for (const VerticalTerms& v : t.verticals)
         verticals_.push_back({v, v.floor < v.need - sum_slack, 0, 0, 0});
@@ -202,16 +201,14 @@
         ask_again_at_ = now_ + std::max(second, ask_within_ / 4);  // unless an answer comes first
     }
     keep_pressure();
-    // Where more than a quarter of the nodes are silent, it is the fleet that is slow: copies would
-    // slow it more.
+    // Where more than a quarter of the nodes are silent, it is the fleet that is slow: copies would slow it.
     int silent_nodes = 0, listed = 0;
     for (std::uint32_t n = 0; n < nodes_.size(); ++n)
         silent_nodes += silent(n, copy_after), listed += ready_[n];
     few_silent_ = 4 * silent_nodes <= listed;
-    // A node silent for twice that is paused before any of its calls has timed out, so that no more get stuck
-    // there.
+    // A node that is silent for longer is paused before its calls time out: no more are to get stuck there.
     for (std::uint32_t n = 0; few_silent_ && n < nodes_.size(); ++n)
-        if (!suspect(n) && silent(n, 1.5 * copy_after)) fault(n, first_pause);
+        if (!suspect(n) && silent(n, hang_after)) fault(n, first_pause);
     further_.clear();
     for (const std::uint32_t i : live_)
         if (!queries_[i].ended) settle(queries_[i]);
@@ -494,7 +491,7 @@
     const std::uint32_t n = choose(part);
     if (n == none) return false;
     if (open_[n] == 0 && streak_[n] == 0) heard_at_[n] = now_;
-    part.calls.push_back({n, now_, static_cast<Nanos>(expected(n) * part.cost), open_[n], true, true});
+    part.calls.push_back({n, now_, open_[n], true, true});
     if (part.out > 0) ++copies_out_;
     ++part.out;
     ++open_[n];
@@ -575,7 +572,7 @@
     for (int j = 0; j < p; ++j) parts_[q.parts[j]].planned = true;
     if (q.step == 2) return;
 
-    // A query that is late or over its tenant's share is worth less and must fit in half the time.
+    // A query that is late or over its tenant's share is worth less and must fit in less of the time.
     const bool late = now_ >= q.slo_at;
     const Nanos left = !late                      ? q.slo_at - now_
                        : v.terms.late_utility > 0 ? std::min(q.end_by - now_, v.terms.slo)
