--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -102,6 +102,8 @@
     std::uint32_t node_index(std::uint32_t id);
     void fault(std::uint32_t n, Nanos pause);
     double expected(std::uint32_t n) const;
+    double outlook(std::uint32_t n) const;
+    std::uint32_t best_holder(std::uint32_t shard) const;
     double best_expected(std::uint32_t shard) const;
     bool silent(std::uint32_t n, double times) const;
     bool suspect(std::uint32_t n) const;
@@ -430,16 +432,25 @@
     return paused_until_[n] > now_ || (streak_[n] > 0 && open_[n] > 0 && heard_at_[n] < paused_until_[n]);
 }
 
-double QueryRouter::State::best_expected(std::uint32_t shard) const {
-    double best = HUGE_VAL;
+// The same, with what is left of a pause.
+double QueryRouter::State::outlook(std::uint32_t n) const {
+    return expected(n) + static_cast<double>(std::max<Nanos>(0, paused_until_[n] - now_));
+}
+
+// The holder that a part of this shard would be back from first, or none where the list knows of none.
+std::uint32_t QueryRouter::State::best_holder(std::uint32_t shard) const {
+    std::uint32_t best = none;
     for (int j = 0; j < width_; ++j)
         for (const std::uint32_t n : at_place_[(shard + j) % places_])
-            if (ready_[n])
-                best = std::min(
-                    best, expected(n) + static_cast<double>(std::max<Nanos>(0, paused_until_[n] - now_)));
+            if (ready_[n] && (best == none || outlook(n) < outlook(best))) best = n;
     return best;
 }
 
+double QueryRouter::State::best_expected(std::uint32_t shard) const {
+    const std::uint32_t n = best_holder(shard);
+    return n == none ? HUGE_VAL : outlook(n);
+}
+
 // The share of its capacity that a node that started a while ago has at least.
 double QueryRouter::State::warmth(std::uint32_t n) const {
     if (started_at_[n] == 0 || cold_ <= 0 || now_ - started_at_[n] >= cold_) return 1;
@@ -584,9 +595,13 @@
     double in_time = 0;
     for (int j = 0; j < k; ++j) {
         const Part& part = parts_[q.parts[j]];
-        const double takes = best_expected(part.shard);
-        if (takes <= most) in_time += part.weight;
-        if (part.planned) ++foreseen_, foreseen_bad_ += takes > foreseen_share * most;
+        const std::uint32_t n = best_holder(part.shard);
+        if (n == none) continue;
+        if (outlook(n) <= most) in_time += part.weight;
+        // A shard whose best holder is in trouble is no sign of pressure: guards p against a few shards
+        // without a sound holder. Can hide pressure while most of the fleet is suspect.
+        if (part.planned && !suspect(n) && !silent(n, copy_after))
+            ++foreseen_, foreseen_bad_ += outlook(n) > foreseen_share * most;
     }
     if (in_time < (v.partial ? v.terms.floor : v.terms.need) - sum_slack) give_up(q, max_advice_ / 2);
 }
