--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -1,4 +1,5 @@
 // The design's ordinary path, and one small test for each failure that led to a line of the module.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 
@@ -98,6 +99,22 @@
     CHECK(ask(router, now, 9000, 0, steep).size() == steep.size());
 }
 
+TEST_CASE("a shard without a sound holder leaves p alone") {
+    QueryRouter router = started(small_terms(Effect::repeatable, 12), small_list(12));
+    Nanos now = start;
+    for (std::uint32_t i = 0; i <= 30; ++i, now += 200 * ms) {
+        const auto come = [&](ArrivalHandler& h) {
+            arrive(h, 1000 + 20 * i, 0, now + 4000 * ms, Weights(12, 1.0 / 12), 12);
+        };
+        auto calls = play(router, now, come).of(Sent::deliver);
+        if (i == 30) CHECK(calls.size() == 12);
+        const auto sound =
+            std::partition(calls.begin(), calls.end(), [](const Sent& s) { return s.node > 102; });
+        end_all(router, now + 50 * ms, {calls.begin(), sound}, Outcome::ok, 50 * ms);
+        end_all(router, now + 55 * ms, {sound, calls.end()}, Outcome::timeout, 55 * ms);
+    }
+}
+
 TEST_CASE("replicas take turns") {
     QueryRouter router = started();
     std::map<std::uint32_t, int> asked;
