Drop a parameter of fault() that was always the same, and mend a comment on cold nodes

The comment still spoke of half of what may push a cold node over, which had become all of a router's share.

--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -100,7 +100,7 @@
 
   private:
     std::uint32_t node_index(std::uint32_t id);
-    void fault(std::uint32_t n, Nanos pause);
+    void fault(std::uint32_t n);
     double expected(std::uint32_t n) const;
     double outlook(std::uint32_t n) const;
     std::uint32_t best_holder(std::uint32_t shard) const;
@@ -210,7 +210,7 @@
     few_silent_ = 4 * silent_nodes <= listed;
     // A node that is silent for longer is paused before its calls time out: no more are to get stuck there.
     for (std::uint32_t n = 0; few_silent_ && n < nodes_.size(); ++n)
-        if (!suspect(n) && silent(n, hang_after)) fault(n, first_pause);
+        if (!suspect(n) && silent(n, hang_after)) fault(n);
     further_.clear();
     for (const std::uint32_t i : live_)
         if (!queries_[i].ended) settle(queries_[i]);
@@ -355,9 +355,9 @@
 // Guards against silent, slow and fast-failing nodes alike: what counts is what came of our own calls, not
 // what the list or a report says. Can harm where all replicas fail for a moment: then the least bad one is
 // asked.
-void QueryRouter::State::fault(std::uint32_t n, Nanos pause) {
+void QueryRouter::State::fault(std::uint32_t n) {
     if (paused_until_[n] > now_) return;  // what fails of calls sent before the pause tells nothing new
-    paused_until_[n] = now_ + (pause << std::min(streak_[n], most_doublings));
+    paused_until_[n] = now_ + (first_pause << std::min(streak_[n], most_doublings));
     if (++streak_[n] < 3 || failing_[n]) return;
     failing_[n] = 1;
     log("node %u fails: %d faults, paused %lld ms", node_id_[n], streak_[n],
@@ -400,9 +400,9 @@
     // timed out: else a hung node looks fresh each time its calls are called off.
     const bool in_vain =
         e.outcome == cancelled && heard_at_[n] <= call.sent_at && took > copy_after * usual_took_;
-    if (in_vain) fault(n, first_pause);
+    if (in_vain) fault(n);
     if (e.outcome == error || e.outcome == timeout || e.outcome == connect_failed || e.outcome == reset)
-        fault(n, first_pause);
+        fault(n);
     Query& q = queries_[part.query];
     if (e.outcome == ok && !q.ended && !part.in) {
         part.in = true;
@@ -458,8 +458,8 @@
     return cold_from_ + (1 - cold_from_) * age;
 }
 
-// Rule 4: a cold node gets few leaf calls at a time, and in any window no more than our share of half of what
-// may push it over, reckoned as if it worked on one call at a time.
+// Rule 4: a cold node gets few leaf calls at a time, and in any window no more than our share of what may
+// push it over, reckoned as if it worked on one call at a time.
 bool QueryRouter::State::cold_room(std::uint32_t n) {
     const double warm = warmth(n);
     if (warm >= 1) return true;
