Fade estimates by time to zone and kind, the fleet's to rest; count no nodes for it

At full size a router hears of a node every ten seconds or more, so its figure was mostly the fleet's, and the fleet's stood still while every query was rejected. Node figures now fade to those of their zone and machine kind, these to the fleet's, the fleet's to calls at rest.

--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -45,7 +45,8 @@
 constexpr double foreseen_share = 0.75;  // a part expected to take more of the time left counts as timed out
 constexpr Nanos first_pause = 250 * ms;  // for a failing node, doubled each time
 constexpr int most_doublings = 3;
-constexpr double cold_use = 1.0;  // of what rule 4 leaves for a cold node
+constexpr Nanos fade = 10 * second;  // what was seen so long ago counts for a third
+constexpr double cold_use = 1.0;     // of what rule 4 leaves for a cold node
 
 struct Vertical {
     VerticalTerms terms;
@@ -79,6 +80,12 @@
     bool fresh = true, whole = false, ended = false, listed = true, late_try = false;
 };
 
+// A figure that was seen at a time, and fades from then on.
+struct Recent {
+    double value = 0;
+    Nanos at = 0;
+};
+
 struct TenantShare {
     double rate = 0, left = 0;
     Nanos at = 0;
@@ -101,6 +108,10 @@
   private:
     std::uint32_t node_index(std::uint32_t id);
     void fault(std::uint32_t n);
+    double usual() const;
+    double usual_in(std::uint16_t group) const;
+    double took(std::uint32_t n) const;
+    void sample(std::uint32_t n, double took, int ahead);
     double expected(std::uint32_t n) const;
     double outlook(std::uint32_t n) const;
     std::uint32_t best_holder(std::uint32_t shard) const;
@@ -148,14 +159,18 @@
     IdIndex nodes_;
     std::vector<std::uint32_t> node_id_, place_;
     std::vector<char> ready_, failing_;  // failing: logged as such
-    std::vector<Nanos> started_at_, heard_at_, paused_until_;
-    std::vector<double> took_, ahead_;  // what a leaf call took lately, with so many of ours ahead of it
+    std::vector<std::uint16_t> group_;
+    std::vector<Nanos> started_at_, heard_at_, paused_until_, sampled_at_;
+    std::vector<double> took_,
+        ahead_;  // what a leaf call took at sampled_at_, with so many of ours ahead of it
     std::vector<int> open_, streak_;
     std::vector<int> recent_ended_, recent_bad_;  // since the last look at pressure
     std::vector<std::deque<Nanos>> cold_sent_;
     std::vector<std::vector<std::uint32_t>> at_place_;
     std::vector<std::uint32_t> turn_;  // per shard
-    double usual_took_ = 0, service_ = 0, usual_hint_ = 0;
+    std::vector<Recent> groups_;       // per zone and machine kind: what leaf calls took there
+    Recent fleet_;                     // and everywhere
+    double service_ = 0, usual_hint_ = 0;
     int all_open_ = 0, copies_out_ = 0;
     double repeats_due_ = 0;  // tries given up lately that may come again unmarked
 
@@ -250,7 +265,9 @@
         started_at_.push_back(0);
         heard_at_.push_back(0);
         paused_until_.push_back(0);
-        took_.push_back(usual_took_);
+        group_.push_back(0);
+        sampled_at_.push_back(0);
+        took_.push_back(0);
         ahead_.push_back(0);
         open_.push_back(0);
         streak_.push_back(0);
@@ -273,10 +290,13 @@
         // Drains are kept: from the moment it is told, nothing new goes to a node that drains or is gone.
         ready_[n] = e.availability == Availability::ready;
         if (e.availability == Availability::gone) continue;
+        group_[n] = e.group;
+        if (e.group >= groups_.size()) groups_.resize(e.group + 1U);
         if (e.started_at != started_at_[n]) {  // a new process: what was learned of the old one is void
             started_at_[n] = e.started_at;
             took_[n] =
-                usual_took_ / std::sqrt(warmth(n));  // a cold one is slow until its own calls say otherwise
+                usual() / std::sqrt(warmth(n));  // a cold one is slow until its own calls say otherwise
+            sampled_at_[n] = now_;
             ahead_[n] = 0;
             streak_[n] = 0;
             paused_until_[n] = 0;
@@ -384,22 +404,20 @@
     }
     if (e.outcome == ok) {
         service_ += service_ == 0 ? took : took < service_ ? (took - service_) * 0.2 : service_ * 0.01;
-        usual_took_ += (took / part.cost - usual_took_) * (usual_took_ == 0 ? 1 : 0.02);
-        took_[n] += (took / part.cost - took_[n]) * (took_[n] == 0 ? 1 : 0.2);
-        ahead_[n] += (call.ahead - ahead_[n]) * 0.2;
+        sample(n, took / part.cost, call.ahead);
         if (streak_[n] > 0 && --streak_[n] == 0 && failing_[n]) {
             failing_[n] = 0;
             log("node %u answers again: %d ms", node_id_[n], static_cast<int>(e.took / ms));
         }
     } else if (e.outcome == cancelled) {
-        if (took > took_[n]) took_[n] += (took - took_[n]) * 0.2;  // it would have taken longer still
+        if (took > this->took(n)) sample(n, took, call.ahead);  // it would have taken longer still
     }
     if ((e.outcome == full || e.outcome == timeout) && !part.late) ++recent_bad_[n];
     if (e.outcome == full) paused_until_[n] = std::max(paused_until_[n], now_ + first_pause);
     // A call ended by us after a long wait, with not a word from the node in all that time, is as good as
     // timed out: else a hung node looks fresh each time its calls are called off.
     const bool in_vain =
-        e.outcome == cancelled && heard_at_[n] <= call.sent_at && took > copy_after * usual_took_;
+        e.outcome == cancelled && heard_at_[n] <= call.sent_at && took > copy_after * usual();
     if (in_vain) fault(n);
     if (e.outcome == error || e.outcome == timeout || e.outcome == connect_failed || e.outcome == reset)
         fault(n);
@@ -413,17 +431,51 @@
 
 // ---- Nodes: what to expect, whom to ask ----
 
+// What was seen long ago fades: a node's figure to that of its zone and kind, theirs to the fleet's, and the
+// fleet's to what calls take at rest. Guards a router that sees little against going by what is over: one
+// that turned every query away would never learn that the nodes are well again. Nodes of one zone or kind
+// often fail together, and a router at full size hears of each node too seldom to tell from its own calls
+// alone.
+double QueryRouter::State::usual() const {
+    const double left = std::exp(-static_cast<double>(now_ - fleet_.at) / static_cast<double>(fade));
+    return service_ + (fleet_.value - service_) * left;
+}
+
+double QueryRouter::State::usual_in(std::uint16_t group) const {
+    const Recent& g = groups_[group];
+    if (g.at == 0) return usual();
+    return usual() +
+           (g.value - usual()) * std::exp(-static_cast<double>(now_ - g.at) / static_cast<double>(fade));
+}
+
+double QueryRouter::State::took(std::uint32_t n) const {
+    const double base = usual_in(group_[n]);
+    if (sampled_at_[n] == 0) return base;
+    return base + (took_[n] - base) *
+                      std::exp(-static_cast<double>(now_ - sampled_at_[n]) / static_cast<double>(fade));
+}
+
+void QueryRouter::State::sample(std::uint32_t n, double took, int ahead) {
+    const double own = this->took(n), group = usual_in(group_[n]), all = usual();
+    const bool first = fleet_.at == 0;
+    fleet_ = {first ? took : all + (took - all) * 0.02, now_};
+    groups_[group_[n]] = {first ? took : group + (took - group) * 0.04, now_};
+    took_[n] = first ? took : own + (took - own) * 0.2;
+    ahead_[n] += (ahead - ahead_[n]) * 0.2;
+    sampled_at_[n] = now_;
+}
+
 // How long a leaf call sent now would take: by what calls took there lately, for each one of ours on the
 // node. A node that holds calls of ours and says nothing takes at least as long as it has been silent: guards
 // against hung and vanished nodes and long pauses before any call has timed out.
 double QueryRouter::State::expected(std::uint32_t n) const {
-    const double by_line = std::max(service_, took_[n] + (open_[n] - ahead_[n]) * service_);
+    const double by_line = std::max(service_, took(n) + (open_[n] - ahead_[n]) * service_);
     return open_[n] == 0 ? by_line : std::max(by_line, static_cast<double>(now_ - heard_at_[n]));
 }
 
 // A node that holds calls of ours and has said nothing for several times what calls take.
 bool QueryRouter::State::silent(std::uint32_t n, double times) const {
-    return open_[n] > 0 && now_ - heard_at_[n] > times * std::max(took_[n], usual_took_);
+    return open_[n] > 0 && now_ - heard_at_[n] > times * std::max(took(n), usual());
 }
 
 // Paused, or back from a pause with its first call still out: one call tries the node, the others wait for
@@ -555,7 +607,6 @@
         repeats_due_ *= 0.8;
         std::fill(recent_bad_.begin(), recent_bad_.end(), 0);
         std::fill(recent_ended_.begin(), recent_ended_.end(), 0);
-        for (double& took : took_) took += (usual_took_ - took) * 0.05;  // what was seen long ago fades
     }
     if (!pressed_ && now_ - climbed_at_ >= climb_every) {
         for (Vertical& v : verticals_) v.p = std::min(v.k, v.p + std::max(1.0, p_step * v.k));
@@ -631,8 +682,7 @@
     const double needed = v.partial ? v.terms.floor : q.step == 1 ? v.terms.need : 1;
     const bool whole = q.step == 1 ? in >= v.terms.need - sum_slack : all_in;
     const bool enough = v.partial && in >= needed - sum_slack;
-    const Nanos for_second =
-        q.step == 1 && v.terms.second_step > 0 ? static_cast<Nanos>(1.5 * usual_took_) : 0;
+    const Nanos for_second = q.step == 1 && v.terms.second_step > 0 ? static_cast<Nanos>(1.5 * usual()) : 0;
     if (whole) return answer(q, q.step == 1 || q.whole);
     if (enough && (coming <= 0 || now_ >= q.slo_at - for_second)) return answer(q, false);
     const bool worthless = now_ >= q.slo_at && v.terms.late_utility <= 0;
@@ -658,7 +708,7 @@
             // A second copy, for a part that is overdue, only while few are out and nothing presses.
             const LeafCall& call = part.calls.back();
             const bool overdue =
-                (now_ - call.sent_at > copy_after * usual_took_ && silent(call.node, copy_after)) ||
+                (now_ - call.sent_at > copy_after * usual() && silent(call.node, copy_after)) ||
                 !ready_[call.node];
             if (overdue && few_silent_ && !pressed_ && best_expected(part.shard) < 2 * service_ &&
                 copies_out_ < copy_share * all_open_ + 1)
--- a/src/router/query_router.hpp
+++ b/src/router/query_router.hpp
@@ -71,7 +71,8 @@
     std::uint32_t node = 0;
     std::uint16_t place = 0;
     Availability availability = Availability::gone;
-    Nanos started_at = 0;  // 0: long ago
+    Nanos started_at = 0;     // 0: long ago
+    std::uint16_t group = 0;  // nodes of one zone and machine kind share a group
 };
 
 struct QueryArrival {
