Hold a tenant's share at one router to no less than four queries

With the stated rate divided by sixty routers the share never held one whole query, so every query passed for one over its tenant's share and had to fit in 0.35 of its time. Half as much again is allowed for, since traffic moves between routers.

--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -46,7 +46,11 @@
 constexpr Nanos first_pause = 250 * ms;  // for a failing node, doubled each time
 constexpr int most_doublings = 3;
 constexpr Nanos fade = 10 * second;  // what was seen so long ago counts for a third
-constexpr double cold_use = 1.0;     // of what rule 4 leaves for a cold node
+// A router's slice of a tenant's traffic is thin and uneven: so many times its even part, and at least so
+// many queries at once, are no sign that the tenant is over its share.
+constexpr double slice_leeway = 1.5;
+constexpr double least_share = 4;
+constexpr double cold_use = 1.0;  // of what rule 4 leaves for a cold node
 
 struct Vertical {
     VerticalTerms terms;
@@ -196,7 +200,10 @@
       budget_window_(t.budget_window), chance_(seed), at_place_(t.places), turn_(t.shards) {
     for (const VerticalTerms& v : t.verticals)
         verticals_.push_back({v, v.floor < v.need - sum_slack, 0, 0, 0});
-    for (const double rate : t.allowances) tenants_.push_back({rate / routers_, 2 * rate / routers_, 0});
+    for (const double rate : t.allowances) {
+        const double own = slice_leeway * rate / routers_;
+        tenants_.push_back({own, std::max(least_share, 2 * own), 0});
+    }
     if (t.discovery == Discovery::ask) ask_again_at_ = 0;
     for (auto& turn : turn_) turn = static_cast<std::uint32_t>(chance_());
 }
@@ -334,7 +341,8 @@
     q.slo_at = std::min(q.end_by, began + v.terms.slo - margin_);
     if (a.tenant < tenants_.size()) {
         TenantShare& t = tenants_[a.tenant];
-        t.left = std::min(2 * t.rate, t.left + t.rate * static_cast<double>(now_ - t.at) / second);
+        t.left = std::min(std::max(least_share, 2 * t.rate),
+                          t.left + t.rate * static_cast<double>(now_ - t.at) / second);
         t.at = now_;
         if (t.left < 1)
             q.utility = over_share_utility_;
