--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -597,10 +597,10 @@
 // ---- p and pressure ----
 
 void QueryRouter::State::keep_pressure() {
-    if (now_ - looked_at_ >= cut_every) {
+    const int ended = std::accumulate(recent_ended_.begin(), recent_ended_.end(), foreseen_);
+    if (now_ - looked_at_ >= cut_every && ended > 0) {
         // Timeouts that pile up at a quarter of the nodes are those nodes' trouble; p is for trouble of the
         // fleet.
-        const int ended = std::accumulate(recent_ended_.begin(), recent_ended_.end(), foreseen_);
         std::sort(recent_bad_.begin(), recent_bad_.end());
         const auto spread = recent_bad_.end() - static_cast<std::ptrdiff_t>((recent_bad_.size() + 3) / 4);
         const int bad = std::accumulate(recent_bad_.begin(), spread, foreseen_bad_);
