Leave an eighth of the nodes asked out of pressure, not a quarter of those known

A router with one query a second asks a third of the fleet; a quarter of all nodes was more than the bad ones it could see, so p was never cut at full size. Guards also on small fleets where a minority sees the load; may cut p for two sick nodes.

--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -602,7 +602,8 @@
         // Timeouts that pile up at a quarter of the nodes are those nodes' trouble; p is for trouble of the
         // fleet.
         std::sort(recent_bad_.begin(), recent_bad_.end());
-        const auto spread = recent_bad_.end() - static_cast<std::ptrdiff_t>((recent_bad_.size() + 3) / 4);
+        const auto asked = std::count_if(recent_ended_.begin(), recent_ended_.end(), [](int e) { return e > 0; });
+        const auto spread = recent_bad_.end() - (asked + 7) / 8;
         const int bad = std::accumulate(recent_bad_.begin(), spread, foreseen_bad_);
         foreseen_ = foreseen_bad_ = 0;
         const bool pressed = bad > 1 && bad > pressure_share * ended;
