Leave out light parts that early rejection counts as not in time; fade node figures over 20 s

The p of the design still decides first; what it would send and what is foreseen too late to count is left out from the lightest on, never below the floor. Also guards against one slow shard; may cost light weights where the estimate is too dark.

--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -45,7 +45,7 @@
 constexpr double foreseen_share = 0.75;  // a part expected to take more of the time left counts as timed out
 constexpr Nanos first_pause = 250 * ms;  // for a failing node, doubled each time
 constexpr int most_doublings = 3;
-constexpr Nanos fade = 10 * second;  // what was seen so long ago counts for a third
+constexpr Nanos fade = 20 * second;  // what was seen so long ago counts for a third
 // A router's slice of a tenant's traffic is thin and uneven: so many times its even part, and at least so
 // many queries at once, are no sign that the tenant is over its share.
 constexpr double slice_leeway = 1.5;
@@ -71,7 +71,7 @@
     double weight = 0, cost = 1;  // cost against the vertical's usual
     std::vector<LeafCall> calls;
     int out = 0;
-    bool planned = false, in = false, lost = false, late = false;
+    bool planned = false, in = false, lost = false, late = false, late_likely = false;
 };
 
 struct Query {
@@ -602,7 +602,8 @@
         // Timeouts that pile up at a quarter of the nodes are those nodes' trouble; p is for trouble of the
         // fleet.
         std::sort(recent_bad_.begin(), recent_bad_.end());
-        const auto asked = std::count_if(recent_ended_.begin(), recent_ended_.end(), [](int e) { return e > 0; });
+        const auto asked =
+            std::count_if(recent_ended_.begin(), recent_ended_.end(), [](int e) { return e > 0; });
         const auto spread = recent_bad_.end() - (asked + 7) / 8;
         const int bad = std::accumulate(recent_bad_.begin(), spread, foreseen_bad_);
         foreseen_ = foreseen_bad_ = 0;
@@ -652,18 +653,27 @@
     const bool lesser = late || q.utility < 1;
     const double most = lesser ? lesser_time * static_cast<double>(left)
                                : std::max(usable_time * static_cast<double>(left), at_rest * service_);
-    double in_time = 0;
+    double in_time = 0, sent = 0;
     for (int j = 0; j < k; ++j) {
-        const Part& part = parts_[q.parts[j]];
+        Part& part = parts_[q.parts[j]];
         const std::uint32_t n = best_holder(part.shard);
+        if (part.planned) sent += part.weight;
         if (n == none) continue;
-        if (outlook(n) <= most) in_time += part.weight;
+        part.late_likely = outlook(n) > most;
+        if (!part.late_likely) in_time += part.weight;
         // A shard whose best holder is in trouble is no sign of pressure: guards p against a few shards
         // without a sound holder. Can hide pressure while most of the fleet is suspect.
         if (part.planned && !suspect(n) && !silent(n, copy_after))
             ++foreseen_, foreseen_bad_ += outlook(n) > foreseen_share * most;
     }
-    if (in_time < (v.partial ? v.terms.floor : v.terms.need) - sum_slack) give_up(q, max_advice_ / 2);
+    if (in_time < (v.partial ? v.terms.floor : v.terms.need) - sum_slack) return give_up(q, max_advice_ / 2);
+    // Light parts that are foreseen to be late are left out down to the floor.
+    for (int j = p; v.partial && q.step == 1 && j-- > 0;) {
+        Part& part = parts_[q.parts[j]];
+        if (!part.late_likely || sent - part.weight < v.terms.floor) continue;
+        part.planned = false;
+        sent -= part.weight;
+    }
 }
 
 // ---- Queries: answers, further leaf calls, giving up ----
