Let a sample count for up to 0.8 where the last one of its node is old

At full size a node is heard of once in ten seconds or more, and one call that took three seconds moved its figure by a fifth.

--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -468,7 +468,8 @@
     const bool first = fleet_.at == 0;
     fleet_ = {first ? took : all + (took - all) * 0.02, now_};
     groups_[group_[n]] = {first ? took : group + (took - group) * 0.04, now_};
-    took_[n] = first ? took : own + (took - own) * 0.2;
+    const double news = 0.8 * (1 - std::exp(-static_cast<double>(now_ - sampled_at_[n]) / static_cast<double>(6 * second)));
+    took_[n] = first ? took : own + (took - own) * std::max(0.2, news);
     ahead_[n] += (ahead - ahead_[n]) * 0.2;
     sampled_at_[n] = now_;
 }
