--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -13,8 +13,8 @@
 #include <cmath>
 #include <cstdio>
 #include <deque>
-#include <numeric>
 #include <random>
+#include <utility>
 
 #include "router/id_index.hpp"
 
@@ -45,7 +45,8 @@
 constexpr double foreseen_share = 0.75;  // a part expected to take more of the time left counts as timed out
 constexpr Nanos first_pause = 250 * ms;  // for a failing node, doubled each time
 constexpr int most_doublings = 3;
-constexpr Nanos fade = 20 * second;  // what was seen so long ago counts for a third
+constexpr double fade = 20 * second;       // what was seen so long ago counts for a third
+constexpr double news_after = 6 * second;  // a sample counts for more where the last one is as old
 // A router's slice of a tenant's traffic is thin and uneven: so many times its even part, and at least so
 // many queries at once, are no sign that the tenant is over its share.
 constexpr double slice_leeway = 1.5;
@@ -112,14 +113,14 @@
   private:
     std::uint32_t node_index(std::uint32_t id);
     void fault(std::uint32_t n);
+    double faded(double value, Nanos at, double to) const;
     double usual() const;
     double usual_in(std::uint16_t group) const;
     double took(std::uint32_t n) const;
     void sample(std::uint32_t n, double took, int ahead);
     double expected(std::uint32_t n) const;
     double outlook(std::uint32_t n) const;
-    std::uint32_t best_holder(std::uint32_t shard) const;
-    double best_expected(std::uint32_t shard) const;
+    std::pair<std::uint32_t, double> best_holder(std::uint32_t shard) const;
     bool silent(std::uint32_t n, double times) const;
     bool suspect(std::uint32_t n) const;
     double warmth(std::uint32_t n) const;
@@ -128,6 +129,8 @@
     bool send(Part& part);
     bool budget_left();
     bool repeat_allowed(const Query& q, const Part& part) const;
+    void listen_for_silence();
+    void count(std::uint32_t n, bool bad);
     void keep_pressure();
     void plan(Query& q);
     void settle(Query& q);
@@ -165,17 +168,17 @@
     std::vector<char> ready_, failing_;  // failing: logged as such
     std::vector<std::uint16_t> group_;
     std::vector<Nanos> started_at_, heard_at_, paused_until_, sampled_at_;
-    std::vector<double> took_,
-        ahead_;  // what a leaf call took at sampled_at_, with so many of ours ahead of it
+    std::vector<double> took_, ahead_;  // what a call took at sampled_at_, with so many of ours ahead of it
     std::vector<int> open_, streak_;
-    std::vector<int> recent_ended_, recent_bad_;  // since the last look at pressure
+    std::vector<int> recent_ended_, recent_bad_;  // since the last look at pressure, at the nodes of ...
+    std::vector<std::uint32_t> recent_, busy_;    // ... this; busy: with calls of ours out
     std::vector<std::deque<Nanos>> cold_sent_;
     std::vector<std::vector<std::uint32_t>> at_place_;
     std::vector<std::uint32_t> turn_;  // per shard
     std::vector<Recent> groups_;       // per zone and machine kind: what leaf calls took there
     Recent fleet_;                     // and everywhere
     double service_ = 0, usual_hint_ = 0;
-    int all_open_ = 0, copies_out_ = 0;
+    int all_open_ = 0, copies_out_ = 0, listed_ = 0;
     double repeats_due_ = 0;  // tries given up lately that may come again unmarked
 
     IdIndex by_ask_, part_ids_;  // queries go under the number that ties their parts to them
@@ -185,7 +188,7 @@
     std::vector<std::uint32_t> further_;
     std::deque<Nanos> taken_at_, further_at_;
 
-    Nanos looked_at_ = 0, climbed_at_ = 0;
+    Nanos looked_at_ = 0, climbed_at_ = 0, listened_at_ = 0;
     bool pressed_ = false, few_silent_ = true;
     int foreseen_ = 0, foreseen_bad_ = 0;  // parts planned since the last look; of these, seemingly too late
 };
@@ -225,14 +228,7 @@
         ask_again_at_ = now_ + std::max(second, ask_within_ / 4);  // unless an answer comes first
     }
     keep_pressure();
-    // Where more than a quarter of the nodes are silent, it is the fleet that is slow: copies would slow it.
-    int silent_nodes = 0, listed = 0;
-    for (std::uint32_t n = 0; n < nodes_.size(); ++n)
-        silent_nodes += silent(n, copy_after), listed += ready_[n];
-    few_silent_ = 4 * silent_nodes <= listed;
-    // A node that is silent for longer is paused before its calls time out: no more are to get stuck there.
-    for (std::uint32_t n = 0; few_silent_ && n < nodes_.size(); ++n)
-        if (!suspect(n) && silent(n, hang_after)) fault(n);
+    if (now_ - listened_at_ >= 4 * step_) listen_for_silence();
     further_.clear();
     for (const std::uint32_t i : live_)
         if (!queries_[i].ended) settle(queries_[i]);
@@ -264,24 +260,12 @@
 
 std::uint32_t QueryRouter::State::node_index(std::uint32_t id) {
     const std::uint32_t n = nodes_.put(id);
-    if (n == node_id_.size()) {
-        node_id_.push_back(id);
-        place_.push_back(none);
-        ready_.push_back(0);
-        failing_.push_back(0);
-        started_at_.push_back(0);
-        heard_at_.push_back(0);
-        paused_until_.push_back(0);
-        group_.push_back(0);
-        sampled_at_.push_back(0);
-        took_.push_back(0);
-        ahead_.push_back(0);
-        open_.push_back(0);
-        streak_.push_back(0);
-        recent_ended_.push_back(0);
-        recent_bad_.push_back(0);
-        cold_sent_.emplace_back();
-    }
+    if (n < node_id_.size()) return n;
+    const auto grow = [n](auto&... arrays) { (arrays.resize(n + 1), ...); };
+    grow(node_id_, place_, ready_, failing_, started_at_, heard_at_, paused_until_, group_, sampled_at_,
+         took_, ahead_, open_, streak_, recent_ended_, recent_bad_, cold_sent_);
+    node_id_[n] = id;
+    place_[n] = none;
     return n;
 }
 
@@ -291,22 +275,20 @@
         return;
     }
     if (kind != ListKind::cached) ask_again_at_ = never;  // the subscription stands
-    if (kind != ListKind::delta) std::fill(ready_.begin(), ready_.end(), 0);
+    if (kind != ListKind::delta) std::fill(ready_.begin(), ready_.end(), 0), listed_ = 0;
     for (const NodeEntry& e : entries) {
         const std::uint32_t n = node_index(e.node);
         // Drains are kept: from the moment it is told, nothing new goes to a node that drains or is gone.
-        ready_[n] = e.availability == Availability::ready;
+        listed_ -= ready_[n];
+        listed_ += ready_[n] = e.availability == Availability::ready;
         if (e.availability == Availability::gone) continue;
         group_[n] = e.group;
         if (e.group >= groups_.size()) groups_.resize(e.group + 1U);
         if (e.started_at != started_at_[n]) {  // a new process: what was learned of the old one is void
             started_at_[n] = e.started_at;
-            took_[n] =
-                usual() / std::sqrt(warmth(n));  // a cold one is slow until its own calls say otherwise
+            took_[n] = usual() / std::sqrt(warmth(n));  // a cold one is slow until its calls say otherwise
             sampled_at_[n] = now_;
-            ahead_[n] = 0;
-            streak_[n] = 0;
-            paused_until_[n] = 0;
+            ahead_[n] = 0, streak_[n] = 0, paused_until_[n] = 0;
         }
         if (place_[n] != e.place) {
             if (place_[n] != none) std::erase(at_place_[place_[n]], n);
@@ -408,7 +390,7 @@
     const double took = static_cast<double>(e.took);
     if (e.outcome != moot && e.outcome != cancelled) {
         heard_at_[n] = now_;
-        ++recent_ended_[n];
+        count(n, (e.outcome == full || e.outcome == timeout) && !part.late);
     }
     if (e.outcome == ok) {
         service_ += service_ == 0 ? took : took < service_ ? (took - service_) * 0.2 : service_ * 0.01;
@@ -420,7 +402,6 @@
     } else if (e.outcome == cancelled) {
         if (took > this->took(n)) sample(n, took, call.ahead);  // it would have taken longer still
     }
-    if ((e.outcome == full || e.outcome == timeout) && !part.late) ++recent_bad_[n];
     if (e.outcome == full) paused_until_[n] = std::max(paused_until_[n], now_ + first_pause);
     // A call ended by us after a long wait, with not a word from the node in all that time, is as good as
     // timed out: else a hung node looks fresh each time its calls are called off.
@@ -444,32 +425,29 @@
 // that turned every query away would never learn that the nodes are well again. Nodes of one zone or kind
 // often fail together, and a router at full size hears of each node too seldom to tell from its own calls
 // alone.
-double QueryRouter::State::usual() const {
-    const double left = std::exp(-static_cast<double>(now_ - fleet_.at) / static_cast<double>(fade));
-    return service_ + (fleet_.value - service_) * left;
+double QueryRouter::State::faded(double value, Nanos at, double to) const {
+    return at == 0 ? to : to + (value - to) * std::exp(-static_cast<double>(now_ - at) / fade);
 }
 
+double QueryRouter::State::usual() const { return faded(fleet_.value, fleet_.at, service_); }
+
 double QueryRouter::State::usual_in(std::uint16_t group) const {
-    const Recent& g = groups_[group];
-    if (g.at == 0) return usual();
-    return usual() +
-           (g.value - usual()) * std::exp(-static_cast<double>(now_ - g.at) / static_cast<double>(fade));
+    return faded(groups_[group].value, groups_[group].at, usual());
 }
 
 double QueryRouter::State::took(std::uint32_t n) const {
-    const double base = usual_in(group_[n]);
-    if (sampled_at_[n] == 0) return base;
-    return base + (took_[n] - base) *
-                      std::exp(-static_cast<double>(now_ - sampled_at_[n]) / static_cast<double>(fade));
+    return faded(took_[n], sampled_at_[n], usual_in(group_[n]));
 }
 
+// The less is known of a node, the more a sample counts: where a node is heard of once in ten seconds, a call
+// that took long must tell.
 void QueryRouter::State::sample(std::uint32_t n, double took, int ahead) {
+    const double old = 1 - std::exp(-static_cast<double>(now_ - sampled_at_[n]) / news_after);
     const double own = this->took(n), group = usual_in(group_[n]), all = usual();
     const bool first = fleet_.at == 0;
     fleet_ = {first ? took : all + (took - all) * 0.02, now_};
     groups_[group_[n]] = {first ? took : group + (took - group) * 0.04, now_};
-    const double news = 0.8 * (1 - std::exp(-static_cast<double>(now_ - sampled_at_[n]) / static_cast<double>(6 * second)));
-    took_[n] = first ? took : own + (took - own) * std::max(0.2, news);
+    took_[n] = first ? took : own + (took - own) * std::max(0.2, 0.8 * old);
     ahead_[n] += (ahead - ahead_[n]) * 0.2;
     sampled_at_[n] = now_;
 }
@@ -498,20 +476,15 @@
     return expected(n) + static_cast<double>(std::max<Nanos>(0, paused_until_[n] - now_));
 }
 
-// The holder that a part of this shard would be back from first, or none where the list knows of none.
-std::uint32_t QueryRouter::State::best_holder(std::uint32_t shard) const {
-    std::uint32_t best = none;
+// The holder that a part of this shard would be back from first, and when; none where the list knows of none.
+std::pair<std::uint32_t, double> QueryRouter::State::best_holder(std::uint32_t shard) const {
+    std::pair<std::uint32_t, double> best{none, HUGE_VAL};
     for (int j = 0; j < width_; ++j)
         for (const std::uint32_t n : at_place_[(shard + j) % places_])
-            if (ready_[n] && (best == none || outlook(n) < outlook(best))) best = n;
+            if (const double o = ready_[n] ? outlook(n) : HUGE_VAL; o < best.second) best = {n, o};
     return best;
 }
 
-double QueryRouter::State::best_expected(std::uint32_t shard) const {
-    const std::uint32_t n = best_holder(shard);
-    return n == none ? HUGE_VAL : outlook(n);
-}
-
 // The share of its capacity that a node that started a while ago has at least.
 double QueryRouter::State::warmth(std::uint32_t n) const {
     if (started_at_[n] == 0 || cold_ <= 0 || now_ - started_at_[n] >= cold_) return 1;
@@ -566,7 +539,7 @@
     part.calls.push_back({n, now_, open_[n], true, true});
     if (part.out > 0) ++copies_out_;
     ++part.out;
-    ++open_[n];
+    if (open_[n]++ == 0) busy_.push_back(n);
     ++all_open_;
     if (warmth(n) < 1) cold_sent_[n].push_back(now_);
     writer_->deliver(part.id, node_id_[n], queries_[part.query].end_by - now_);
@@ -595,18 +568,40 @@
     return true;
 }
 
+// Where more than a quarter of the nodes are silent, it is the fleet that is slow: copies would slow it. A
+// node that is silent for longer is paused before its calls time out: no more are to get stuck there.
+void QueryRouter::State::listen_for_silence() {
+    listened_at_ = now_;
+    std::erase_if(busy_, [this](auto n) { return open_[n] == 0; });
+    few_silent_ =
+        4 * std::count_if(busy_.begin(), busy_.end(), [this](auto n) { return silent(n, copy_after); }) <=
+        listed_;
+    for (const std::uint32_t n : busy_)
+        if (few_silent_ && !suspect(n) && silent(n, hang_after)) fault(n);
+}
+
 // ---- p and pressure ----
 
+void QueryRouter::State::count(std::uint32_t n, bool bad) {
+    if (recent_ended_[n]++ == 0) recent_.push_back(n);
+    recent_bad_[n] += bad;
+}
+
+// Looks each second, once parts have ended that say something: a router at full size may hear nothing for
+// long.
 void QueryRouter::State::keep_pressure() {
-    const int ended = std::accumulate(recent_ended_.begin(), recent_ended_.end(), foreseen_);
-    if (now_ - looked_at_ >= cut_every && ended > 0) {
-        // Timeouts that pile up at a quarter of the nodes are those nodes' trouble; p is for trouble of the
-        // fleet.
-        std::sort(recent_bad_.begin(), recent_bad_.end());
-        const auto asked =
-            std::count_if(recent_ended_.begin(), recent_ended_.end(), [](int e) { return e > 0; });
-        const auto spread = recent_bad_.end() - (asked + 7) / 8;
-        const int bad = std::accumulate(recent_bad_.begin(), spread, foreseen_bad_);
+    if (now_ - looked_at_ >= cut_every && (foreseen_ > 0 || !recent_.empty())) {
+        // Timeouts that pile up at an eighth of the nodes asked are those nodes' trouble; p is for the
+        // fleet's.
+        std::sort(recent_.begin(), recent_.end(),
+                  [this](auto a, auto b) { return recent_bad_[a] < recent_bad_[b]; });
+        int ended = foreseen_, bad = foreseen_bad_;
+        for (std::size_t i = 0; i < recent_.size(); ++i) {
+            ended += recent_ended_[recent_[i]];
+            if (i + (recent_.size() + 7) / 8 < recent_.size()) bad += recent_bad_[recent_[i]];
+        }
+        for (const std::uint32_t n : recent_) recent_ended_[n] = recent_bad_[n] = 0;
+        recent_.clear();
         foreseen_ = foreseen_bad_ = 0;
         const bool pressed = bad > 1 && bad > pressure_share * ended;
         if (pressed != pressed_) log("pressure %s: %d bad of %d parts", pressed ? "on" : "off", bad, ended);
@@ -616,8 +611,6 @@
         if (pressed) climbed_at_ = now_;
         looked_at_ = now_;
         repeats_due_ *= 0.8;
-        std::fill(recent_bad_.begin(), recent_bad_.end(), 0);
-        std::fill(recent_ended_.begin(), recent_ended_.end(), 0);
     }
     if (!pressed_ && now_ - climbed_at_ >= climb_every) {
         for (Vertical& v : verticals_) v.p = std::min(v.k, v.p + std::max(1.0, p_step * v.k));
@@ -657,15 +650,15 @@
     double in_time = 0, sent = 0;
     for (int j = 0; j < k; ++j) {
         Part& part = parts_[q.parts[j]];
-        const std::uint32_t n = best_holder(part.shard);
+        const auto [n, in] = best_holder(part.shard);
         if (part.planned) sent += part.weight;
         if (n == none) continue;
-        part.late_likely = outlook(n) > most;
+        part.late_likely = in > most;
         if (!part.late_likely) in_time += part.weight;
         // A shard whose best holder is in trouble is no sign of pressure: guards p against a few shards
         // without a sound holder. Can hide pressure while most of the fleet is suspect.
         if (part.planned && !suspect(n) && !silent(n, copy_after))
-            ++foreseen_, foreseen_bad_ += outlook(n) > foreseen_share * most;
+            ++foreseen_, foreseen_bad_ += in > foreseen_share * most;
     }
     if (in_time < (v.partial ? v.terms.floor : v.terms.need) - sum_slack) return give_up(q, max_advice_ / 2);
     // Light parts that are foreseen to be late are left out down to the floor.
@@ -696,7 +689,7 @@
         if (part.out > 0 && !part.in && !part.late && now_ >= q.slo_at) {
             part.late = true;  // as good as timed out
             for (const LeafCall& call : part.calls)
-                if (call.out) ++recent_bad_[call.node], ++recent_ended_[call.node];
+                if (call.out) count(call.node, true);
         }
     }
     const double needed = v.partial ? v.terms.floor : q.step == 1 ? v.terms.need : 1;
@@ -730,7 +723,7 @@
             const bool overdue =
                 (now_ - call.sent_at > copy_after * usual() && silent(call.node, copy_after)) ||
                 !ready_[call.node];
-            if (overdue && few_silent_ && !pressed_ && best_expected(part.shard) < 2 * service_ &&
+            if (overdue && few_silent_ && !pressed_ && best_holder(part.shard).second < 2 * service_ &&
                 copies_out_ < copy_share * all_open_ + 1)
                 further_.push_back(i);
         }
