Put node groups through the index, take what was seen as one, reckon each figure once

Zone and kind become a small index at the door like every other id, with no wide vector and no cut-off zone; fading takes a figure with its time; a sample no longer reckons the fleet's figure three times; the window of a cold node rests on the same figure as its turns; cuts of p run only under pressure again.

--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -105,10 +105,9 @@
           call_cap_(t.call_cap), routers_(std::max(1, t.routers)), may_cancel_(t.may_cancel),
           copies_(t.second_copies), advises_(t.retry_after), marks_(t.marks_repeats), step_(t.step),
           margin_(2 * t.step + 3 * ms), max_advice_(t.max_retry_after), ask_within_(t.ask_within),
-          cold_from_(t.cold_from), cold_sends_rate_(cold_use * t.tip_multiple / routers_),
-          cold_turns_(cold_use * t.tip_multiple), cold_(t.cold), fall_(t.fall), budgeted_(t.budgeted),
-          budget_free_(t.budget_free), resend_ratio_(t.resend_ratio), budget_window_(t.budget_window),
-          chance_(seed), at_place_(t.places), turn_(t.shards) {
+          cold_from_(t.cold_from), cold_turns_(cold_use * t.tip_multiple), cold_(t.cold), fall_(t.fall),
+          budgeted_(t.budgeted), budget_free_(t.budget_free), resend_ratio_(t.resend_ratio),
+          budget_window_(t.budget_window), chance_(seed), at_place_(t.places), turn_(t.shards) {
         for (const VerticalTerms& v : t.verticals)
             verticals_.push_back({v, v.floor < v.need - sum_slack, 0, 0, 0});
         for (const double rate : t.allowances)
@@ -184,8 +183,8 @@
             listed_ -= ready_[n];
             listed_ += ready_[n] = e.availability == Availability::ready;
             if (e.availability == Availability::gone) continue;
-            group_[n] = e.group;
-            if (e.group >= groups_.size()) groups_.resize(e.group + 1U);
+            group_[n] = group_ids_.put(e.group);
+            groups_.resize(group_ids_.size());
             if (e.started_at != started_at_[n]) {  // a new process: what was learned of the old one is void
                 started_at_[n] = e.started_at;
                 took_[n] = usual() / std::sqrt(warmth(n));  // slow until its calls say otherwise
@@ -317,23 +316,23 @@
     // and whatever they report), theirs to the fleet's, the fleet's to calls at rest. Guards a router that
     // sees little against going by what is over: one that turned all away would not learn that the nodes are
     // well again.
-    double faded(double value, Nanos at, double to) const {
-        return at == 0 ? to : to + (value - to) * std::exp(-static_cast<double>(now_ - at) / fade);
+    double faded(Recent seen, double to) const {
+        if (seen.at == 0) return to;
+        return to + (seen.value - to) * std::exp(-static_cast<double>(now_ - seen.at) / fade);
     }
 
-    double usual() const { return faded(fleet_.value, fleet_.at, service_); }
+    double usual() const { return faded(fleet_, service_); }
 
-    double usual_in(std::uint16_t group) const {
-        return faded(groups_[group].value, groups_[group].at, usual());
+    double took(std::uint32_t n) const {
+        return faded({took_[n], sampled_at_[n]}, faded(groups_[group_[n]], usual()));
     }
 
-    double took(std::uint32_t n) const { return faded(took_[n], sampled_at_[n], usual_in(group_[n])); }
-
     // The less is known of a node, the more a sample counts: where a node is heard of once in ten seconds, a
     // call that took long must tell.
     void sample(std::uint32_t n, double took, int ahead) {
         const double old = 1 - std::exp(-static_cast<double>(now_ - sampled_at_[n]) / news_after);
-        const double own = this->took(n), group = usual_in(group_[n]), all = usual();
+        const double all = usual(), group = faded(groups_[group_[n]], all);
+        const double own = faded({took_[n], sampled_at_[n]}, group);
         const bool first = fleet_.at == 0;
         fleet_ = {first ? took : all + (took - all) * 0.02, now_};
         groups_[group_[n]] = {first ? took : group + (took - group) * 0.04, now_};
@@ -391,7 +390,7 @@
         auto& sent = cold_sent_[n];
         while (!sent.empty() && sent.front() <= now_ - fall_ - step_) sent.pop_front();
         const double most =
-            cold_sends_rate_ * warm * static_cast<double>(fall_) / std::max(service_, 20.0 * ms);
+            cold_turns_ / routers_ * warm * static_cast<double>(fall_) / std::max(service_, 20.0 * ms);
         if (open_[n] >= 2 + static_cast<int>(3 * warm) ||
             static_cast<double>(sent.size()) + 1 > std::max(1.0, most))
             return false;
@@ -499,7 +498,8 @@
                 log("pressure %s: %d bad of %d parts", pressed ? "on" : "off", bad, ended);
             pressed_ = pressed;
             if (pressed) climbed_at_ = now_;
-            for (Vertical& v : verticals_) v.p = std::max(1.0, v.p - (pressed ? p_step * v.k : 0));
+            for (Vertical& v : verticals_)
+                if (pressed) v.p = std::max(1.0, v.p - p_step * v.k);
             looked_at_ = now_;
             repeats_due_ *= 0.8;
         }
@@ -685,7 +685,7 @@
     int places_, width_, call_cap_, routers_;
     bool may_cancel_, copies_, advises_, marks_;
     Nanos step_, margin_, max_advice_, ask_within_;
-    double cold_from_, cold_sends_rate_, cold_turns_;
+    double cold_from_, cold_turns_;
     Nanos cold_, fall_;
     bool budgeted_;
     double budget_free_, resend_ratio_;
@@ -698,10 +698,9 @@
     Nanos ask_again_at_ = never;
 
     // Nodes, in parallel arrays under the index of their id.
-    IdIndex nodes_;
-    std::vector<std::uint32_t> node_id_, place_;
+    IdIndex nodes_, group_ids_;
+    std::vector<std::uint32_t> node_id_, place_, group_;
     std::vector<char> ready_, failing_;  // failing: logged as such
-    std::vector<std::uint16_t> group_;
     std::vector<Nanos> started_at_, heard_at_, paused_until_, sampled_at_;
     std::vector<double> took_, ahead_;  // what a call took at sampled_at_, with so many of ours ahead of it
     std::vector<int> open_, streak_;
--- a/src/simwire/adapter.cpp
+++ b/src/simwire/adapter.cpp
@@ -86,8 +86,8 @@
     std::vector<NodeEntry> entries(r.take<std::uint32_t>());
     for (NodeEntry& e : entries) {
         e.node = r.take<std::uint32_t>();
-        e.group = r.take<std::uint16_t>();  // the zone; with the machine kind, the group
-        e.group = static_cast<std::uint16_t>(e.group << 8 | r.take<std::uint8_t>());
+        const std::uint32_t zone = r.take<std::uint16_t>();
+        e.group = zone << 8 | r.take<std::uint8_t>();  // with the machine kind
         e.place = r.take<std::uint16_t>();
         const auto availability = r.take<std::uint8_t>();
         if (availability > 2) throw Malformed("unknown availability " + std::to_string(availability));
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -250,5 +250,5 @@
     }
     if (variant == 3) terms.verticals[0].second_step = terms.verticals[1].second_step = 2;
     const std::size_t decided = generated_day(terms, static_cast<std::uint64_t>(seed));
-    if (seed % 4 == 0) CHECK(generated_day(terms, static_cast<std::uint64_t>(seed)) == decided);
+    CHECK(generated_day(terms, static_cast<std::uint64_t>(seed)) == decided);
 }
