Keep the list of nodes with calls out exact, so that none is counted twice as silent

A node that answered and was asked again between two looks stood twice in the list, and twice in the share of silent nodes for as long as it held calls. It now leaves the list with its last call out.

--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -275,7 +275,8 @@
         LeafCall& call = part.calls[e.attempt];
         const std::uint32_t n = call.node;
         call.out = false;
-        --open_[n], --all_open_;
+        if (--open_[n] == 0) std::erase(busy_, n);
+        --all_open_;
         if (--part.out > 0) --copies_out_;
         using enum Outcome;
         if (e.outcome == full || e.outcome == connect_failed || e.outcome == moot) call.may_have_run = false;
@@ -467,7 +468,6 @@
     // node that is silent for longer is paused before its calls time out: no more are to get stuck there.
     void listen_for_silence() {
         listened_at_ = now_;
-        std::erase_if(busy_, [this](auto n) { return open_[n] == 0; });
         const auto is_silent = [this](auto n) { return silent(n, copy_after); };
         few_silent_ = 4 * std::count_if(busy_.begin(), busy_.end(), is_silent) <= listed_;
         for (const std::uint32_t n : busy_)
