--- /dev/null
+++ b/src/service/bridge.cpp
@@ -0,0 +1,328 @@
+#include "service/bridge.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include "service/log.hpp"
+
+namespace tealcart {
+namespace {
+
+constexpr Nanos ms = 1'000'000;
+constexpr std::int64_t longest_deadline_ms = 24 * 3600 * 1000;
+enum Due : std::uint64_t { patience = UINT64_MAX };  // else a cookie of the module's
+
+// Ids and keys go into frames' lines as they are.
+bool speakable(std::string_view text) {
+    return !text.empty() && text.size() <= 128 && std::all_of(text.begin(), text.end(), [](char c) {
+        return c > ' ' && c < 0x7f && c != ',' && c != '=';
+    });
+}
+
+std::optional<Nanos> read_deadline(std::string_view text) {
+    std::int64_t value = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (ec != std::errc() || end != text.data() + text.size() || value <= 0 || value > longest_deadline_ms)
+        return std::nullopt;
+    return value * ms;
+}
+
+}  // namespace
+
+Bridge::Bridge(Timekeeper& time, const Terms& terms, const LinkTerms& link_terms, std::uint64_t seed)
+    : time_(time), step_(terms.step), places_(static_cast<std::uint32_t>(terms.places)),
+      shards_(static_cast<std::uint32_t>(terms.shards)), verticals_(link_terms.verticals),
+      most_held_(static_cast<std::size_t>(link_terms.most_held)),
+      parts_a_call_(static_cast<std::size_t>(link_terms.parts_a_call)), router_(terms, seed) {
+    for (const VerticalTerms& v : terms.verticals) keyed_.push_back(v.effect == Effect::deduplicated);
+}
+
+void Bridge::refuse(Handle client, int status, std::string_view words) {
+    front_->answer(client, {status, write_error(words), 0});
+}
+
+void Bridge::on_request(Handle client, Request& request, Nanos began) {
+    const std::string_view path = request.path;
+    if (path == "/-/ready" || path == "/-/healthy") {
+        if (request.method != "GET") return refuse(client, 405, "GET only");
+        if (stopping_ && path == "/-/ready") return refuse(client, 503, "stopping");
+        return front_->answer(client, {200, {}, 0});
+    }
+    const std::string_view name = path.substr(0, path.find('/', 1));
+    const auto found = std::find_if(verticals_.begin(), verticals_.end(), [name](const std::string& v) {
+        return name.size() == v.size() + 1 && name[0] == '/' && name.substr(1) == v;
+    });
+    if (found == verticals_.end()) return refuse(client, 404, "no such vertical");
+    if (request.method != "POST") return refuse(client, 405, "POST only");
+    const auto vertical = static_cast<std::uint16_t>(found - verticals_.begin());
+    if (!speakable(request.id)) return refuse(client, 400, "X-Request-Id is missing or malformed");
+    const auto deadline = read_deadline(request.deadline);
+    if (!deadline) return refuse(client, 400, "X-Deadline-Ms is missing or malformed");
+    if (keyed_[vertical] && !speakable(request.key))
+        return refuse(client, 400, "Idempotency-Key is missing or malformed");
+    std::string wrong;
+    QueryBody body = read_query(request.body, shards_, wrong);
+    if (!wrong.empty()) return refuse(client, 400, wrong);
+    // Its parts could not be told from those of the query that is out.
+    if (by_text_.contains(request.id)) return refuse(client, 409, "X-Request-Id is in use");
+    if (held_ >= most_held_) return refuse(client, 503, "too many queries in hand");
+
+    const Handle h = queries_.take();
+    Query& q = *queries_.find(h);
+    q.id = new_id();
+    q.vertical = vertical;
+    q.again = request.retry;
+    q.client = client;
+    q.give_up_at = began + *deadline;
+    q.text = std::make_shared<QueryText>(std::move(request.id),
+                                         keyed_[vertical] ? std::move(request.key) : std::string(),
+                                         std::move(body.text));
+    for (const QueryPart& stated : body.parts) {
+        Part& part = q.parts.emplace_back();
+        part.id = new_id();
+        part.shard = stated.shard;
+        part.weight = stated.weight;
+        part.hint = stated.hint;
+        part_by_id_[part.id] = {h, static_cast<std::uint32_t>(q.parts.size() - 1)};
+    }
+    by_id_[q.id] = h;
+    by_text_[q.text->id] = h;
+    by_client_[client.slot] = h;
+    held_ += 1 + q.parts.size();
+    arrived_.push_back(QueryNews{h});
+}
+
+// Never one that is in use: the ids of a long life come round.
+std::uint32_t Bridge::new_id() {
+    do ++last_id_;
+    while (by_id_.contains(last_id_) || part_by_id_.contains(last_id_));
+    return last_id_;
+}
+
+void Bridge::on_client_gone(Handle client) {
+    const auto it = by_client_.find(client.slot);
+    if (it == by_client_.end()) return;
+    const Handle h = it->second;
+    const Query& q = *queries_.find(h);
+    if (q.played) arrived_.push_back(Gone{q.id});
+    end_query(h);
+}
+
+void Bridge::take_list(const TargetList& list, ListKind kind) {
+    NodeList::News news = nodes_.take(list);
+    arrived_.push_back(ListNews{kind, std::move(news.entries)});
+    for (const std::uint32_t n : news.changed) {
+        const bool leaving = std::find(news.leaving.begin(), news.leaving.end(), n) != news.leaving.end();
+        links_->retire(n, leaving);
+    }
+}
+
+void Bridge::on_due(Handle who, std::uint64_t what) {
+    if (what != patience) return void(arrived_.push_back(Timer{what}));
+    LeafCall& call = *calls_.find(who);
+    call.due = Deadlines::none;
+    if (links_->withdraw(call.link, who)) return call_ended(who, Outcome::moot);
+    const Query& q = *queries_.find(call.query);
+    links_->give_up(call.link, *q.text, q.parts[call.part].shard);
+    call_ended(who, Outcome::timeout);
+}
+
+// An answer counts for the leaf call that is out for this part on this very link: late ones and those of an
+// earlier leaf call find none.
+void Bridge::on_node_answer(Handle link, const NodeAnswer& answer) {
+    const auto it = by_text_.find(answer.query);
+    if (it == by_text_.end()) return;
+    Query& q = *queries_.find(it->second);
+    for (const Part& part : q.parts) {
+        if (part.shard != answer.shard) continue;
+        for (const Handle h : part.calls)
+            if (const LeafCall* call = calls_.find(h); call != nullptr && call->link == link)
+                return call_ended(h, answer.outcome, answer.value);
+    }
+}
+
+void Bridge::on_call_lost(Handle call, Outcome outcome) { call_ended(call, outcome); }
+
+void Bridge::call_ended(Handle h, Outcome outcome, std::string_view value) {
+    LeafCall* call = calls_.find(h);
+    if (call == nullptr) return;
+    time_.due.drop(call->due);
+    const LeafCall ended = *call;
+    calls_.give_back(h);
+    links_->done(ended.link, h);
+    Query& q = *queries_.find(ended.query);
+    Part& part = q.parts[ended.part];
+    if (outcome == Outcome::ok && !part.in && !q.ended) {
+        if (q.value_bytes + value.size() > longest_body) {
+            outcome = Outcome::error;  // no answer could hold it
+        } else {
+            q.value_bytes += value.size();
+            part.value = value;
+            part.in = true;
+        }
+    }
+    arrived_.push_back(LeafEnd{part.id, ended.node, ended.attempt, outcome, time_.now() - ended.sent_at});
+    --q.out;
+    release(ended.query);
+}
+
+void Bridge::run_round() {
+    last_round_ = time_.now();
+    playing_.clear();
+    std::swap(playing_, arrived_);
+    router_.round(last_round_, *this, *this);
+    send_calls();
+}
+
+void Bridge::play(ArrivalHandler& handler) {
+    for (const Arrived& arrived : playing_) {
+        if (const auto* list = std::get_if<ListNews>(&arrived)) {
+            handler.on_nodes(list->kind, list->entries);
+        } else if (const auto* news = std::get_if<QueryNews>(&arrived)) {
+            Query* q = queries_.find(news->query);
+            if (q == nullptr || q->ended) continue;  // its client left before the module heard of it
+            q->played = true;
+            handler.on_query({q->id, q->id, q->vertical, UINT32_MAX, q->give_up_at, q->again});
+            for (const Part& part : q->parts)
+                handler.on_part({part.id, q->id, part.shard, part.weight, part.hint});
+        } else if (const auto* end = std::get_if<LeafEnd>(&arrived)) {
+            handler.on_leaf_end(*end);
+        } else if (const auto* gone = std::get_if<Gone>(&arrived)) {
+            handler.on_dropped(gone->query);
+        } else {
+            handler.on_timer(std::get<Timer>(arrived).cookie);
+        }
+    }
+}
+
+void Bridge::deliver(std::uint32_t id, std::uint32_t node, Nanos wait) {
+    const auto at = part_by_id_.find(id);
+    if (at == part_by_id_.end()) return log_line("a leaf call for part %u, which is not known", id);
+    Query& q = *queries_.find(at->second.query);
+    Part& part = q.parts[at->second.part];
+    const Handle h = calls_.take();
+    LeafCall& call = *calls_.find(h);
+    call.query = at->second.query;
+    call.part = at->second.part;
+    call.node = node;
+    call.attempt = static_cast<std::uint8_t>(part.calls.size());
+    call.sent_at = last_round_;
+    call.until = wait > 0 ? std::min(q.give_up_at, last_round_ + wait) : q.give_up_at;
+    part.calls.push_back(h);
+    ++q.out;
+    outbox_.push_back(h);
+}
+
+// What a round sends to the same node travels together, as far as the deployment allows.
+void Bridge::send_calls() {
+    for (std::size_t i = 0; i < outbox_.size(); ++i) {
+        const LeafCall* first = calls_.find(outbox_[i]);
+        if (first == nullptr || first->due != Deadlines::none)
+            continue;  // ended, or sent with an earlier one
+        const std::uint32_t node = first->node;
+        std::vector<LeafPiece> pieces;
+        std::vector<Handle> avoid;
+        for (std::size_t j = i; j < outbox_.size() && pieces.size() < parts_a_call_; ++j) {
+            LeafCall* call = calls_.find(outbox_[j]);
+            if (call == nullptr || call->node != node || call->due != Deadlines::none) continue;
+            const Query& q = *queries_.find(call->query);
+            const Part& part = q.parts[call->part];
+            pieces.push_back({outbox_[j], q.text, part.shard, call->until});
+            // A second leaf call on the same connection could not be told from the first.
+            avoid.insert(avoid.end(), part.links.begin(), part.links.end());
+            call->due = time_.due.add(call->until, *this, outbox_[j], patience);
+        }
+        std::vector<Handle> sent;
+        for (const LeafPiece& piece : pieces) sent.push_back(piece.call);
+        const Handle link = links_->send(node, nodes_.address(node), std::move(pieces), avoid);
+        for (const Handle h : sent) {
+            LeafCall* call = calls_.find(h);
+            if (call == nullptr) continue;
+            if (link == Handle{}) {
+                call_ended(h, Outcome::connect_failed);
+                continue;
+            }
+            call->link = link;
+            queries_.find(call->query)->parts[call->part].links.push_back(link);
+        }
+    }
+    outbox_.clear();
+}
+
+void Bridge::cancel(std::uint32_t id, std::uint8_t attempt) {
+    const auto at = part_by_id_.find(id);
+    if (at == part_by_id_.end()) return;
+    const Query& q = *queries_.find(at->second.query);
+    const Part& part = q.parts[at->second.part];
+    if (attempt >= part.calls.size()) return;
+    const Handle h = part.calls[attempt];
+    const LeafCall* call = calls_.find(h);
+    if (call == nullptr) return;
+    if (call->due == Deadlines::none || links_->withdraw(call->link, h)) return call_ended(h, Outcome::moot);
+    links_->give_up(call->link, *q.text, part.shard);
+    call_ended(h, Outcome::cancelled);
+}
+
+void Bridge::answer(std::uint32_t id, bool whole) {
+    const Query* q = query_of(id);
+    if (q == nullptr) return;
+    AnswerBody body(whole);
+    for (const Part& part : q->parts)
+        if (part.in) body.add(part.shard, part.value);
+    std::string text = body.finish();
+    if (text.size() > longest_body) {
+        log_line("an answer of %zu bytes is too long to be given", text.size());
+        return finish(id, {500, write_error("the answer is too long"), 0});
+    }
+    finish(id, {200, std::move(text), 0});
+}
+
+void Bridge::reject(std::uint32_t id, Nanos not_before) {
+    finish(id, {503, write_error("rejected"), not_before});
+}
+
+void Bridge::abort(std::uint32_t id) { finish(id, {504, write_error("aborted"), 0}); }
+
+void Bridge::finish(std::uint32_t id, Answer answer) {
+    const Query* q = query_of(id);
+    if (q == nullptr) return;
+    front_->answer(q->client, std::move(answer));
+    end_query(by_id_.at(id));
+}
+
+void Bridge::wake(std::uint64_t cookie, Nanos wait) { time_.due.add(last_round_ + wait, *this, {}, cookie); }
+
+void Bridge::log(const std::string& line) { log_line("%s", line.c_str()); }
+
+Bridge::Query* Bridge::query_of(std::uint32_t id) {
+    const auto it = by_id_.find(id);
+    Query* q = it == by_id_.end() ? nullptr : queries_.find(it->second);
+    return q == nullptr || q->ended ? nullptr : q;
+}
+
+// From here on nothing of it is sent: what waits for a connection is taken back.
+void Bridge::end_query(Handle h) {
+    Query& q = *queries_.find(h);
+    q.ended = true;
+    by_client_.erase(q.client.slot);
+    held_ -= 1 + q.parts.size();
+    ++q.out;  // keeps the slot while its calls end
+    for (const Part& part : q.parts)
+        for (const Handle c : std::vector<Handle>(part.calls))
+            if (const LeafCall* call = calls_.find(c);
+                call != nullptr && (call->due == Deadlines::none || links_->withdraw(call->link, c)))
+                call_ended(c, Outcome::moot);
+    --q.out;
+    release(h);
+}
+
+void Bridge::release(Handle h) {
+    const Query* q = queries_.find(h);
+    if (q == nullptr || !q->ended || q->out > 0) return;
+    for (const Part& part : q->parts) part_by_id_.erase(part.id);
+    by_id_.erase(q->id);
+    by_text_.erase(q->text->id);
+    queries_.give_back(h);
+}
+
+}  // namespace tealcart
--- /dev/null
+++ b/src/service/launch.cpp
@@ -0,0 +1,73 @@
+#include "service/launch.hpp"
+
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+namespace tealcart {
+namespace {
+
+using Json = nlohmann::json;
+
+const Json& required(const Json& in, const char* key) {
+    const auto it = in.is_object() ? in.find(key) : in.end();
+    if (!in.is_object() || it == in.end())
+        throw Malformed(std::string("the configuration lacks '") + key + "'");
+    return *it;
+}
+
+std::string text(const Json& in, const char* key) {
+    const Json& value = required(in, key);
+    if (!value.is_string()) throw Malformed(std::string("'") + key + "' in the configuration is no string");
+    return value.get<std::string>();
+}
+
+HostPort address(const Json& in, const char* key) {
+    const auto found = read_host_port(text(in, key));
+    if (!found) throw Malformed(std::string("'") + key + "' in the configuration is no address with a port");
+    return *found;
+}
+
+}  // namespace
+
+Launch read_launch(const std::string& configuration) {
+    const Json in = Json::parse(configuration, nullptr, false);
+    if (in.is_discarded()) throw Malformed("the configuration is not JSON");
+    Launch launch;
+    launch.name = text(in, "name");
+    launch.listen = address(in, "listen");
+    launch.discovery = address(in, "discovery");
+    const std::string seed = text(in, "seed");
+    const auto [end, ec] = std::from_chars(seed.data(), seed.data() + seed.size(), launch.seed, 16);
+    if (ec != std::errc() || end != seed.data() + seed.size())
+        throw Malformed("'seed' in the configuration is no hexadecimal number of 64 bits");
+    const Json& sockets = required(required(in, "limits"), "sockets");
+    if (!sockets.is_number_unsigned() || sockets.get<std::uint64_t>() < 64)
+        throw Malformed("'limits.sockets' in the configuration is no number of at least 64");
+    launch.sockets = sockets.get<std::size_t>();
+    const std::string settings = required(in, "settings").dump();
+    launch.terms = read_terms(settings);
+    launch.link_terms = read_link_terms(settings);
+    for (const VerticalTerms& v : launch.terms.verticals)
+        if (v.second_step > 0)
+            throw Malformed("a vertical has a second step, which is not served on sockets yet");
+    if (const auto known = in.find("known"); known != in.end() && !known->is_null()) {
+        auto list = read_targets(known->dump(), static_cast<std::uint32_t>(launch.terms.places));
+        if (!list) throw Malformed("'known' in the configuration is no list of data nodes");
+        launch.known = std::move(*list);
+    }
+    launch.known.whole = true;
+    return launch;
+}
+
+Launch read_launch_file() {
+    const char* path = std::getenv("ROUTER_CONFIG");
+    if (path == nullptr || *path == 0) throw Malformed("ROUTER_CONFIG is not set");
+    std::ifstream file(path);
+    if (!file) throw Malformed(std::string("the configuration ") + path + " can't be read");
+    return read_launch({std::istreambuf_iterator<char>(file), {}});
+}
+
+}  // namespace tealcart
--- /dev/null
+++ b/src/service/launch.hpp
@@ -0,0 +1,28 @@
+// What the platform tells a query router at its start.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "terms/terms_text.hpp"
+#include "wire/bodies.hpp"
+
+namespace tealcart {
+
+struct Launch {
+    std::string name;
+    HostPort listen, discovery;
+    std::uint64_t seed = 0;
+    std::size_t sockets = 0;  // file descriptors that the process may hold
+    Terms terms;
+    LinkTerms link_terms;
+    TargetList known;  // the list as this query router last had it
+};
+
+// Throws Malformed with one plain line where something is missing or can't be read.
+Launch read_launch(const std::string& text);
+
+// The same from the file that ROUTER_CONFIG names.
+Launch read_launch_file();
+
+}  // namespace tealcart
--- a/src/simwire/adapter.hpp
+++ b/src/simwire/adapter.hpp
@@ -12,9 +12,6 @@
 
 namespace tealcart::simwire {
 
-// Reads the settings' text. Throws Malformed where it is broken or a required setting is missing.
-Terms read_terms(std::string_view text);
-
 class Adapter {
   public:
     // One batch, without its length field, to one whole reply. Throws Malformed.
--- a/src/simwire/frame.hpp
+++ b/src/simwire/frame.hpp
@@ -5,12 +5,12 @@
 #include <cmath>
 #include <cstdint>
 #include <cstring>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <type_traits>
 
 #include "router/query_router.hpp"
+#include "terms/terms_text.hpp"
 
 namespace tealcart::simwire {
 
@@ -19,11 +19,6 @@
 // A frame that states more is taken for a lie.
 constexpr std::uint32_t longest_batch = 1U << 28;
 
-// What came in is not what the wire page allows; the text says what was wrong.
-struct Malformed : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
-
 class Reader {
   public:
     explicit Reader(std::string_view bytes) : bytes_(bytes) {}
--- a/src/simwire/main.cpp
+++ b/src/simwire/main.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-using tealcart::simwire::Malformed;
+using tealcart::Malformed;
 
 // Reads n bytes; false at a clean end of input before the first of them.
 bool read_whole(char* to, std::size_t n) {
--- /dev/null
+++ b/src/tables/deadlines.hpp
@@ -0,0 +1,71 @@
+// All deadlines of the service in one ordered structure: a binary heap that knows where each entry lies, so
+// that one can be dropped before its time.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "router/query_router.hpp"
+#include "tables/slots.hpp"
+
+namespace tealcart {
+
+// Whoever hangs deadlines in is told when one is due.
+class DueHandler {
+  public:
+    virtual ~DueHandler() = default;
+    virtual void on_due(Handle who, std::uint64_t what) = 0;
+};
+
+class Deadlines {
+  public:
+    using Ticket = std::uint32_t;
+    static constexpr Ticket none = UINT32_MAX;
+    static constexpr Nanos never = INT64_MAX;
+
+    Ticket add(Nanos at, DueHandler& handler, Handle who, std::uint64_t what = 0);
+
+    // Drops a deadline that is no longer wanted; the ticket is void from then on.
+    void drop(Ticket& ticket);
+
+    // Drops the ticket's deadline, if any, and hangs a new one in.
+    void move(Ticket& ticket, Nanos at, DueHandler& handler, Handle who, std::uint64_t what = 0) {
+        drop(ticket);
+        ticket = add(at, handler, who, what);
+    }
+
+    Nanos next() const { return heap_.empty() ? never : entries_[heap_[0]].at; }
+    std::size_t size() const { return heap_.size(); }
+
+    // Tells the handlers of all that is due by now, the earliest first, in the order of adding where times
+    // are equal. A handler's own ticket is void when it is told. What is added meanwhile waits for the next
+    // call when it is due after `now`.
+    void tell(Nanos now);
+
+  private:
+    struct Entry {
+        Nanos at = 0;
+        std::uint64_t order = 0;
+        DueHandler* handler = nullptr;
+        Handle who;
+        std::uint64_t what = 0;
+        std::uint32_t place = 0;
+    };
+
+    bool before(std::uint32_t a, std::uint32_t b) const {
+        return entries_[a].at != entries_[b].at ? entries_[a].at < entries_[b].at
+                                                : entries_[a].order < entries_[b].order;
+    }
+    void put(std::uint32_t place, std::uint32_t entry) {
+        heap_[place] = entry;
+        entries_[entry].place = place;
+    }
+    void rise(std::uint32_t place);
+    void sink(std::uint32_t place);
+
+    std::vector<Entry> entries_;
+    std::vector<std::uint32_t> heap_, free_;
+    std::uint64_t order_ = 0;
+};
+
+}  // namespace tealcart
--- /dev/null
+++ b/src/tables/timekeeper.hpp
@@ -0,0 +1,32 @@
+// The service's clock and deadlines. The clock counts from the Unix epoch, as lists of data nodes do, and
+// only goes forward: it is read once from the system's clock and then follows the steady one.
+#pragma once
+
+#include <chrono>
+
+#include "tables/deadlines.hpp"
+
+namespace tealcart {
+
+class Timekeeper {
+  public:
+    Timekeeper()
+        : base_(std::chrono::duration_cast<std::chrono::nanoseconds>(
+                    std::chrono::system_clock::now().time_since_epoch())
+                    .count()),
+          began_(std::chrono::steady_clock::now()) {}
+
+    Nanos now() const { return base_ + (std::chrono::steady_clock::now() - began_).count(); }
+    // The same for a time point of the steady clock, which is what a timer is set to.
+    std::chrono::steady_clock::time_point steady(Nanos at) const {
+        return began_ + std::chrono::nanoseconds(at - base_);
+    }
+
+    Deadlines due;
+
+  private:
+    Nanos base_;
+    std::chrono::steady_clock::time_point began_;
+};
+
+}  // namespace tealcart
--- a/src/simwire/settings_text.cpp
+++ b/src/terms/terms_text.cpp
@@ -1,10 +1,10 @@
+#include "terms/terms_text.hpp"
+
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
-#include "simwire/adapter.hpp"
-#include "simwire/frame.hpp"
-
-namespace tealcart::simwire {
+namespace tealcart {
 namespace {
 
 using Json = nlohmann::json;
@@ -114,6 +114,22 @@
     return t;
 }
 
+LinkTerms link_terms_of(const Json& in) {
+    LinkTerms t;
+    const Json& limits = required(in, "limits");
+    for (const Json& s : required(in, "services")) {
+        t.verticals.push_back(text(s, "name", ""));
+        if (t.verticals.back().empty()) throw Malformed("a service has no name");
+        t.longest_wait = std::max(t.longest_wait, span(s, "deadline"));
+    }
+    t.connect_timeout = span(limits, "connect_timeout");
+    t.idle_close = span(limits, "idle_close");
+    t.calls_a_link = whole(limits, "streams_per_conn", 1);
+    t.most_held = whole(limits, "most_held", 1);
+    t.parts_a_call = std::max(1, static_cast<int>(number(required(in, "extra"), "parts_a_call", 1)));
+    return t;
+}
+
 }  // namespace
 
 Terms read_terms(std::string_view text) {
@@ -124,4 +140,12 @@
     }
 }
 
-}  // namespace tealcart::simwire
+LinkTerms read_link_terms(std::string_view text) {
+    try {
+        return link_terms_of(Json::parse(text));
+    } catch (const Json::exception& e) {
+        throw Malformed(std::string("the settings can't be read: ") + e.what());
+    }
+}
+
+}  // namespace tealcart
--- /dev/null
+++ b/src/wire/bodies.cpp
@@ -0,0 +1,169 @@
+#include "wire/bodies.hpp"
+
+#include <charconv>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace tealcart {
+namespace {
+
+using Json = nlohmann::json;
+
+const Json* member(const Json& in, const char* key) {
+    if (!in.is_object()) return nullptr;
+    const auto it = in.find(key);
+    return it == in.end() ? nullptr : &*it;
+}
+
+std::optional<std::string> text_of(const Json& in, const char* key) {
+    const Json* value = member(in, key);
+    if (value == nullptr || !value->is_string()) return std::nullopt;
+    return value->get<std::string>();
+}
+
+// A number that is finite and not below 0.
+std::optional<double> amount_of(const Json& in, const char* key) {
+    const Json* value = member(in, key);
+    if (value == nullptr || !value->is_number()) return std::nullopt;
+    const double number = value->get<double>();
+    if (!std::isfinite(number) || number < 0) return std::nullopt;
+    return number;
+}
+
+std::optional<std::uint32_t> index_of(const Json& in, const char* key, std::uint32_t below) {
+    const Json* value = member(in, key);
+    if (value == nullptr || !value->is_number_unsigned()) return std::nullopt;
+    const auto number = value->get<std::uint64_t>();
+    if (number >= below) return std::nullopt;
+    return static_cast<std::uint32_t>(number);
+}
+
+std::optional<ListedNode> read_node(const Json& in, std::uint32_t places) {
+    const auto id = text_of(in, "instanceId"), address = text_of(in, "hostPort"), zone = text_of(in, "zone"),
+               kind = text_of(in, "machineType"), state = text_of(in, "lifecycle");
+    const auto place = index_of(in, "cell", places);
+    const auto started = amount_of(in, "startedAtMs");
+    if (!id || id->empty() || !state) return std::nullopt;
+    ListedNode node{*id,
+                    address.value_or(""),
+                    zone.value_or(""),
+                    kind.value_or(""),
+                    place.value_or(0),
+                    Availability::gone,
+                    0};
+    if (*state == "removed") return node;
+    if (*state == "draining")
+        node.availability = Availability::draining;
+    else if (*state == "up")
+        node.availability = Availability::ready;
+    else
+        return std::nullopt;
+    if (!place || !address || !read_host_port(*address) || !zone || !kind) return std::nullopt;
+    if (started && *started < 9e12) node.started_at = static_cast<Nanos>(*started) * 1'000'000;
+    return node;
+}
+
+}  // namespace
+
+QueryBody read_query(std::string_view body, std::uint32_t shards, std::string& wrong) {
+    QueryBody query;
+    wrong.clear();
+    const auto fail = [&](const char* words) {
+        wrong = words;
+        return QueryBody{};
+    };
+    const Json in = Json::parse(body, nullptr, false);
+    if (in.is_discarded()) return fail("the body is not JSON");
+    const auto text = text_of(in, "text");
+    if (!text) return fail("'text' is missing or no string");
+    query.text = *text;
+    const Json* segments = member(in, "segments");
+    if (segments == nullptr || !segments->is_array() || segments->empty())
+        return fail("'segments' is missing, empty or no list");
+    std::vector<bool> named(shards);
+    double sum = 0;
+    for (const Json& segment : *segments) {
+        const auto shard = index_of(segment, "segment", shards);
+        const auto weight = amount_of(segment, "boost");
+        if (!shard) return fail("a 'segment' is missing or names no shard");
+        if (named[*shard]) return fail("a shard is named twice");
+        if (!weight) return fail("a 'boost' is missing, negative or no number");
+        named[*shard] = true;
+        QueryPart part{*shard, *weight, 0};
+        if (member(segment, "work") != nullptr) {
+            const auto work = amount_of(segment, "work");
+            if (!work) return fail("a 'work' is negative or no number");
+            part.hint = std::llround(std::min(*work, 1e12) * 1e3);
+        }
+        if (member(segment, "affinity") != nullptr && !text_of(segment, "affinity"))
+            return fail("an 'affinity' is no string");
+        sum += *weight;
+        query.parts.push_back(part);
+    }
+    if (!(sum > 0) || !std::isfinite(sum)) return fail("the parts weigh nothing together");
+    for (QueryPart& part : query.parts) part.weight /= sum;  // stated sums miss 1 by a rounding
+    return query;
+}
+
+AnswerBody::AnswerBody(bool whole)
+    : out_(whole ? R"({"all_in":true,"matches":[)" : R"({"all_in":false,"matches":[)") {}
+
+// The value's bytes as they are, escaped as far as JSON needs it.
+void AnswerBody::add(std::uint32_t shard, std::string_view value) {
+    if (!first_) out_ += ',';
+    first_ = false;
+    out_ += "{\"segment\":";
+    out_ += std::to_string(shard);
+    out_ += ",\"payload\":\"";
+    for (const char c : value) {
+        if (c == '"' || c == '\\') {
+            out_ += '\\';
+            out_ += c;
+        } else if (static_cast<unsigned char>(c) < 0x20) {
+            constexpr char digits[] = "0123456789abcdef";
+            out_ += "\\u00";
+            out_ += digits[c >> 4];
+            out_ += digits[c & 15];
+        } else {
+            out_ += c;
+        }
+    }
+    out_ += "\"}";
+}
+
+std::string AnswerBody::finish() { return std::move(out_ += "]}"); }
+
+std::string write_error(std::string_view words) {
+    std::string out = "{\"error\":\"";
+    return out.append(words).append("\"}");
+}
+
+std::optional<TargetList> read_targets(std::string_view body, std::uint32_t places) {
+    const Json in = Json::parse(body, nullptr, false);
+    const Json* generation = member(in, "generation");
+    const Json* whole = member(in, "reset");
+    const Json* instances = member(in, "instances");
+    if (generation == nullptr || !generation->is_number_unsigned() || whole == nullptr ||
+        !whole->is_boolean() || instances == nullptr || !instances->is_array())
+        return std::nullopt;
+    TargetList list{generation->get<std::uint64_t>(), whole->get<bool>(), {}, 0};
+    for (const Json& entry : *instances) {
+        if (auto node = read_node(entry, places))
+            list.nodes.push_back(std::move(*node));
+        else
+            ++list.left_out;
+    }
+    return list;
+}
+
+std::optional<HostPort> read_host_port(std::string_view text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0) return std::nullopt;
+    HostPort found{std::string(text.substr(0, colon)), 0};
+    const std::string_view port = text.substr(colon + 1);
+    const auto [end, ec] = std::from_chars(port.data(), port.data() + port.size(), found.port);
+    if (ec != std::errc() || end != port.data() + port.size() || found.port == 0) return std::nullopt;
+    return found;
+}
+
+}  // namespace tealcart
--- /dev/null
+++ b/src/wire/bodies.hpp
@@ -0,0 +1,66 @@
+// The bodies of queries and answers, and discovery's lists. Pure functions on bytes.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "router/query_router.hpp"
+
+namespace tealcart {
+
+struct QueryPart {
+    std::uint32_t shard = 0;
+    double weight = 0;  // of 1 over all parts
+    Nanos hint = 0;
+};
+
+struct QueryBody {
+    std::vector<QueryPart> parts;
+    std::string text;
+};
+
+// Empty `wrong` if the body is one of a query over so many shards; else what is wrong with it.
+QueryBody read_query(std::string_view body, std::uint32_t shards, std::string& wrong);
+
+// Writes an answer piece by piece.
+class AnswerBody {
+  public:
+    explicit AnswerBody(bool whole);
+    void add(std::uint32_t shard, std::string_view value);
+    std::string finish();
+
+  private:
+    std::string out_;
+    bool first_ = true;
+};
+
+std::string write_error(std::string_view words);
+
+struct ListedNode {
+    std::string id, address, zone, kind;
+    std::uint32_t place = 0;
+    Availability availability = Availability::gone;
+    Nanos started_at = 0;  // since the Unix epoch, 0 for long ago
+};
+
+struct TargetList {
+    std::uint64_t generation = 0;
+    bool whole = false;
+    std::vector<ListedNode> nodes;
+    int left_out = 0;  // entries that could not be used
+};
+
+// A list as discovery sends it; none if it can't be read as one. `places` bounds the cells.
+std::optional<TargetList> read_targets(std::string_view body, std::uint32_t places);
+
+// "a.b.c.d:port" with a port above 0.
+struct HostPort {
+    std::string host;
+    std::uint16_t port = 0;
+};
+std::optional<HostPort> read_host_port(std::string_view text);
+
+}  // namespace tealcart
--- /dev/null
+++ b/src/wire/client_front.cpp
@@ -0,0 +1,246 @@
+#include "wire/client_front.hpp"
+
+#include <boost/asio/write.hpp>
+#include <vector>
+
+#include "service/log.hpp"
+
+namespace tealcart {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr Nanos ms = 1'000'000;
+constexpr Nanos linger = 1000 * ms;       // for the far side to take an answer before its connection ends
+constexpr Nanos accept_pause = 100 * ms;  // after a failed accept
+constexpr std::size_t most_unread = longest_head + longest_body;  // of further requests, while one is out
+constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+
+}  // namespace
+
+ClientFront::ClientFront(boost::asio::io_context& io, Timekeeper& time, RequestTaker& taker, std::size_t most,
+                         Nanos stall)
+    : io_(io), time_(time), taker_(taker), most_(most), stall_(stall), acceptor_(io) {}
+
+void ClientFront::listen(const std::string& host, std::uint16_t port) {
+    const tcp::endpoint at(boost::asio::ip::make_address(host), port);
+    acceptor_.open(at.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(at);
+    acceptor_.listen(boost::asio::socket_base::max_listen_connections);
+    acceptor_.non_blocking(true);
+    last_accepted_ = time_.now();
+    accept();
+}
+
+// Where no more connections may be held, clients wait in the backlog until one is given back.
+void ClientFront::accept() {
+    if (accepting_ || !acceptor_.is_open() || accept_again_ != Deadlines::none) return;
+    if (clients_.used() >= most_ && !close_longest_idle()) return;
+    accepting_ = true;
+    acceptor_.async_accept([this](const error_code& ec, tcp::socket socket) {
+        accepting_ = false;
+        if (!acceptor_.is_open()) return;
+        if (ec && ec != boost::asio::error::connection_aborted) {
+            log_line("a connection can't be accepted: %s", ec.message().c_str());
+            close_longest_idle();
+            time_.due.move(accept_again_, time_.now() + accept_pause, *this, Handle{});
+            return;
+        }
+        if (!ec) take(std::move(socket));
+        accept();
+    });
+}
+
+void ClientFront::take(tcp::socket socket) {
+    error_code ec;
+    socket.set_option(tcp::no_delay(true), ec);
+    last_accepted_ = time_.now();
+    const Handle h = clients_.take(std::move(socket));
+    clients_.find(h)->idle_since = last_accepted_;
+    read(h);
+}
+
+bool ClientFront::close_longest_idle() {
+    Handle longest;
+    Nanos since = Deadlines::never;
+    clients_.each([&](Handle h, const Client& c) {
+        if (c.state == State::reading && !c.reader.begun() && c.idle_since < since)
+            longest = h, since = c.idle_since;
+    });
+    if (clients_.find(longest) == nullptr) return false;
+    close(longest);
+    return true;
+}
+
+// Reads all the time, so that a client that leaves is seen; not while too much of further requests waits.
+void ClientFront::read(Handle h) {
+    Client& client = *clients_.find(h);
+    if (client.reads || client.ended || client.state == State::closed || client.in.size() >= most_unread)
+        return;
+    client.reads = true;
+    client.socket.async_read_some(
+        boost::asio::buffer(client.buffer), [this, h](const error_code& ec, std::size_t n) {
+            Client& c = *clients_.find(h);
+            if (c.state == State::closed) {
+                c.reads = false;
+                return settle(h);
+            }
+            c.ended = static_cast<bool>(ec);
+            if (!ec && c.state != State::lingering) c.in.append(c.buffer.data(), n);
+            if (c.state == State::reading) advance(h);
+            if (ec && c.state == State::asked) taker_.on_client_gone(h);
+            if (ec && c.state != State::answering) close(h);
+            c.reads = false;  // only now, so that the slot is kept while it is worked on
+            if (c.state == State::closed) return settle(h);
+            read(h);
+        });
+}
+
+void ClientFront::advance(Handle h) {
+    Client& c = *clients_.find(h);
+    const bool begun = c.reader.begun();
+    const Reading reading = c.reader.feed(c.in);
+    if (!begun && c.reader.begun()) {
+        c.began = time_.now();
+        time_.due.move(c.due, c.began + stall_, *this, h);
+    }
+    if (reading == Reading::more) {
+        if (c.reader.owes_continue() && !c.writes) {
+            c.continues = true;
+            write(h);
+        }
+        return;
+    }
+    time_.due.drop(c.due);
+    c.state = State::asked;
+    if (reading == Reading::bad) {
+        c.last = true;
+        const int status = c.reader.error_status();
+        return answer(h, {status, {}, 0});
+    }
+    c.last = !c.reader.request().keep_alive;
+    taker_.on_request(h, c.reader.request(), c.began);
+}
+
+void ClientFront::answer(Handle h, Answer answer) {
+    Client* c = clients_.find(h);
+    if (c == nullptr || c->state != State::asked) return;
+    c->state = State::answering;
+    c->last |= stopping_;
+    c->body = std::move(answer.body);
+    c->head = write_answer_head({answer.status, c->body.size(), answer.retry_after / ms, c->last});
+    // A client that does not take its answer is let go as one that stalls in its request.
+    time_.due.move(c->due, time_.now() + stall_, *this, h);
+    write(h);
+}
+
+void ClientFront::write(Handle h) {
+    Client& c = *clients_.find(h);
+    if (c.writes) return;
+    c.writes = true;
+    const auto bytes = [](std::string_view text) {
+        return boost::asio::const_buffer(text.data(), text.size());
+    };
+    const std::array<boost::asio::const_buffer, 2> buffers =
+        c.continues ? std::array{bytes(go_on), bytes({})} : std::array{bytes(c.head), bytes(c.body)};
+    boost::asio::async_write(c.socket, buffers, [this, h](const error_code& ec, std::size_t) {
+        Client& client = *clients_.find(h);
+        if (client.state != State::closed && ec) {
+            if (client.state == State::asked) taker_.on_client_gone(h);
+            close(h);
+        }
+        client.writes = false;
+        if (client.state == State::closed) return settle(h);
+        const bool continued = std::exchange(client.continues, false);
+        if (client.state != State::answering) return;
+        if (continued) return write(h);  // an answer came meanwhile
+        flushed(h);
+    });
+}
+
+void ClientFront::flushed(Handle h) {
+    Client& c = *clients_.find(h);
+    time_.due.drop(c.due);
+    c.head.clear();
+    c.body.clear();
+    if (c.ended) return close(h);
+    if (c.last) {
+        // Closing with bytes unread would reset the connection and could destroy the answer under way.
+        error_code ec;
+        c.socket.shutdown(tcp::socket::shutdown_send, ec);
+        if (ec) return close(h);
+        c.state = State::lingering;
+        c.in.clear();
+        time_.due.move(c.due, time_.now() + linger, *this, h);
+        return read(h);
+    }
+    c.state = State::reading;
+    c.reader.next();
+    c.idle_since = time_.now();
+    if (!c.in.empty()) advance(h);
+    read(h);
+    if (c.state == State::reading) accept();  // an idle one can be closed for one that waits
+}
+
+void ClientFront::on_due(Handle h, std::uint64_t) {
+    if (h == Handle{}) {
+        accept_again_ = Deadlines::none;
+        return accept();
+    }
+    Client& c = *clients_.find(h);
+    c.due = Deadlines::none;
+    if (c.state == State::reading) {  // in the middle of a request
+        c.state = State::asked;
+        c.last = true;
+        return answer(h, {408, {}, 0});
+    }
+    close(h);
+}
+
+void ClientFront::begin_stop() {
+    stopping_ = true;
+    // One whose next request has come in is served first.
+    clients_.each([this](Handle h, Client& c) {
+        error_code ec;
+        if (c.state == State::reading && !c.reader.begun() && c.socket.available(ec) == 0) close(h);
+    });
+}
+
+bool ClientFront::end_listening() {
+    error_code ec;
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, ec);
+    if (!ec) {
+        take(std::move(socket));
+        return false;
+    }
+    acceptor_.close(ec);
+    return true;
+}
+
+void ClientFront::close_all() {
+    error_code ec;
+    acceptor_.close(ec);
+    clients_.each([this](Handle h, Client&) { close(h); });
+}
+
+void ClientFront::close(Handle h) {
+    Client* c = clients_.find(h);
+    if (c == nullptr || c->state == State::closed) return;
+    c->state = State::closed;
+    time_.due.drop(c->due);
+    error_code ec;
+    c->socket.close(ec);
+    settle(h);
+}
+
+void ClientFront::settle(Handle h) {
+    Client* c = clients_.find(h);
+    if (c == nullptr || c->state != State::closed || c->reads || c->writes) return;
+    clients_.give_back(h);
+    accept();
+}
+
+}  // namespace tealcart
--- /dev/null
+++ b/src/wire/client_front.hpp
@@ -0,0 +1,92 @@
+// Connections of clients: requests in, answers out, one at a time on each. Owns the sockets; a slot is given
+// back in `settle`, once no operation on it is under way.
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+#include "tables/slots.hpp"
+#include "tables/timekeeper.hpp"
+#include "wire/http.hpp"
+
+namespace tealcart {
+
+struct Answer {
+    int status = 200;
+    std::string body;
+    Nanos retry_after = 0;  // 0 for none
+};
+
+// What stands behind the front. Each request is answered exactly once by ClientFront::answer, at once or
+// later, unless its client has gone.
+class RequestTaker {
+  public:
+    virtual ~RequestTaker() = default;
+    virtual void on_request(Handle client, Request& request, Nanos began) = 0;
+    virtual void on_client_gone(Handle client) = 0;
+};
+
+class ClientFront final : public DueHandler {
+  public:
+    // At most so many connections; a client that stalls in the middle of a request is let go after `stall`.
+    ClientFront(boost::asio::io_context& io, Timekeeper& time, RequestTaker& taker, std::size_t most,
+                Nanos stall);
+
+    // Throws boost::system::system_error where the address can't be had.
+    void listen(const std::string& host, std::uint16_t port);
+    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+    void answer(Handle client, Answer answer);
+
+    // From now on answers close their connection, and idle ones are closed.
+    void begin_stop();
+    // Closes the listening socket, if no client waits in its backlog; false if one did.
+    bool end_listening();
+    void close_all();
+
+    std::size_t open() const { return clients_.used(); }
+    Nanos last_accepted() const { return last_accepted_; }
+    void on_due(Handle client, std::uint64_t what) override;
+
+  private:
+    enum class State : std::uint8_t { reading, asked, answering, lingering, closed };
+    struct Client {
+        explicit Client(boost::asio::ip::tcp::socket s) : socket(std::move(s)) {}
+
+        boost::asio::ip::tcp::socket socket;
+        State state = State::reading;
+        bool last = false, ended = false, reads = false, writes = false;  // last: no further request is taken
+        RequestReader reader;
+        std::string in;
+        std::array<char, 4096> buffer;
+        std::string head, body;  // being written
+        bool continues = false;  // word to go on is being written
+        Nanos idle_since = 0, began = 0;
+        Deadlines::Ticket due = Deadlines::none;
+    };
+
+    void accept();
+    void take(boost::asio::ip::tcp::socket socket);
+    void read(Handle h);
+    void advance(Handle h);
+    void write(Handle h);
+    void flushed(Handle h);
+    void close(Handle h);
+    void settle(Handle h);
+    bool close_longest_idle();
+
+    boost::asio::io_context& io_;
+    Timekeeper& time_;
+    RequestTaker& taker_;
+    const std::size_t most_;
+    const Nanos stall_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    Slots<Client> clients_;
+    bool accepting_ = false, stopping_ = false;
+    Nanos last_accepted_ = 0;
+    Deadlines::Ticket accept_again_ = Deadlines::none;
+};
+
+}  // namespace tealcart
--- /dev/null
+++ b/src/wire/discovery_watch.hpp
@@ -0,0 +1,60 @@
+// The watch on discovery's list of data nodes: one call after the other on a kept connection, made anew when
+// it breaks or stays silent for longer than the call may wait.
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+#include "tables/slots.hpp"
+#include "tables/timekeeper.hpp"
+#include "wire/bodies.hpp"
+#include "wire/http.hpp"
+
+namespace tealcart {
+
+class ListTaker {
+  public:
+    virtual ~ListTaker() = default;
+    virtual void on_list(const TargetList& list) = 0;
+};
+
+class DiscoveryWatch final : public DueHandler {
+  public:
+    DiscoveryWatch(boost::asio::io_context& io, Timekeeper& time, ListTaker& taker, HostPort address,
+                   std::uint32_t places);
+
+    // Watches for what is newer than `generation`.
+    void start(std::uint64_t generation);
+    void stop();
+    void on_due(Handle, std::uint64_t what) override;
+
+  private:
+    void connect();
+    void ask();
+    void read();
+    void take_answer();
+    void give_up(const char* why);
+
+    boost::asio::io_context& io_;
+    Timekeeper& time_;
+    ListTaker& taker_;
+    const HostPort address_;
+    const std::uint32_t places_;
+    std::uint64_t generation_ = 0;
+    bool whole_ = false;          // the next call asks for the whole list
+    bool silent_before_ = false;  // told in the log
+    // Each connection has a life of its own: what completes for an earlier one is void.
+    struct Connection {
+        explicit Connection(boost::asio::io_context& io);
+        boost::asio::ip::tcp::socket socket;
+        std::string out, in;
+        std::array<char, 8192> buffer;
+        AnswerReader reader;
+    };
+    std::shared_ptr<Connection> connection_;
+    Deadlines::Ticket due_ = Deadlines::none;
+};
+
+}  // namespace tealcart
--- /dev/null
+++ b/src/wire/http.cpp
@@ -0,0 +1,158 @@
+#include "wire/http.hpp"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/status.hpp>
+#include <cstdio>
+#include <optional>
+
+namespace tealcart {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::iequals;
+using boost::beast::string_view;
+using boost::system::error_code;
+
+std::string to_string(string_view text) { return {text.data(), text.size()}; }
+
+// Beast parses a head in place once it is there as a whole and tells its fields; the body is gathered here.
+template <bool is_request>
+class Gatherer : public http::basic_parser<is_request> {
+  public:
+    explicit Gatherer(std::size_t longest) {
+        this->eager(true);
+        this->header_limit(longest_head);
+        this->body_limit(longest);
+    }
+
+    Reading feed(std::string& in) {
+        std::size_t taken = 0;
+        error_code ec;
+        while (!this->is_done() && !ec && taken < in.size()) {
+            const std::size_t n = this->put({in.data() + taken, in.size() - taken}, ec);
+            taken += n;
+            if (n == 0) break;
+        }
+        in.erase(0, taken);
+        if (ec && ec != http::error::need_more) {
+            error = ec;
+            return Reading::bad;
+        }
+        return this->is_done() ? Reading::done : Reading::more;
+    }
+
+    std::string body;
+    int status = 0;
+    error_code error;
+
+  protected:
+    void on_request_impl(http::verb, string_view, string_view, int, error_code&) override {}
+    void on_response_impl(int code, string_view, int, error_code&) override { status = code; }
+    void on_field_impl(http::field name, string_view, string_view value, error_code& ec) override {
+        // Any other coding than one chunked would leave the body's end open to dispute.
+        if (name == http::field::transfer_encoding && !iequals(value, "chunked"))
+            ec = http::error::bad_transfer_encoding;
+    }
+    void on_header_impl(error_code&) override {}
+    void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
+    std::size_t on_body_impl(string_view part, error_code&) override {
+        body.append(part.data(), part.size());
+        return part.size();
+    }
+    void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+    std::size_t on_chunk_body_impl(std::uint64_t, string_view part, error_code&) override {
+        body.append(part.data(), part.size());
+        return part.size();
+    }
+    void on_finish_impl(error_code&) override {}
+};
+
+}  // namespace
+
+class RequestReader::Parser final : public Gatherer<true> {
+  public:
+    Parser() : Gatherer(longest_body) {}
+
+    Request request;
+    bool owes_continue = false, begun = false;
+
+  private:
+    void on_request_impl(http::verb, string_view method, string_view target, int, error_code&) override {
+        request.method = to_string(method);
+        request.path = to_string(target.substr(0, target.find('?')));
+    }
+    void on_field_impl(http::field name, string_view text, string_view value, error_code& ec) override {
+        Gatherer::on_field_impl(name, text, value, ec);
+        if (name == http::field::expect) owes_continue = iequals(value, "100-continue");
+        if (iequals(text, "X-Request-Id")) request.id = to_string(value);
+        if (iequals(text, "X-Deadline-Ms")) request.deadline = to_string(value);
+        if (iequals(text, "Idempotency-Key")) request.key = to_string(value);
+        if (iequals(text, "X-Retry")) request.retry = value == "1";
+    }
+    void on_finish_impl(error_code&) override {
+        request.keep_alive = keep_alive();
+        request.body = std::move(body);
+    }
+};
+
+RequestReader::RequestReader() : parser_(std::make_unique<Parser>()) {}
+RequestReader::~RequestReader() = default;
+
+Reading RequestReader::feed(std::string& in) {
+    parser_->begun |= !in.empty();
+    return parser_->feed(in);
+}
+
+int RequestReader::error_status() const {
+    if (parser_->error == http::error::header_limit) return 431;
+    if (parser_->error == http::error::body_limit) return 413;
+    return 400;
+}
+
+bool RequestReader::owes_continue() {
+    return parser_->is_header_done() && !parser_->is_done() && std::exchange(parser_->owes_continue, false);
+}
+
+bool RequestReader::begun() const { return parser_->begun; }
+Request& RequestReader::request() { return parser_->request; }
+void RequestReader::next() { parser_ = std::make_unique<Parser>(); }
+
+class AnswerReader::Parser final : public Gatherer<false> {
+  public:
+    using Gatherer::Gatherer;
+};
+
+AnswerReader::AnswerReader(std::size_t longest)
+    : parser_(std::make_unique<Parser>(longest)), longest_(longest) {}
+AnswerReader::~AnswerReader() = default;
+
+Reading AnswerReader::feed(std::string& in) { return parser_->feed(in); }
+int AnswerReader::status() const { return parser_->status; }
+bool AnswerReader::keep_alive() const { return parser_->keep_alive(); }
+const std::string& AnswerReader::body() const { return parser_->body; }
+void AnswerReader::next() { parser_ = std::make_unique<Parser>(longest_); }
+
+std::string write_answer_head(const AnswerHead& head) {
+    const auto reason = http::obsolete_reason(static_cast<http::status>(head.status));
+    char text[256];
+    int n = std::snprintf(text, sizeof text, "HTTP/1.1 %d %.*s\r\nContent-Length: %zu\r\n", head.status,
+                          static_cast<int>(reason.size()), reason.data(), head.length);
+    std::string out(text, static_cast<std::size_t>(n));
+    if (head.length > 0) out += "Content-Type: application/json\r\n";
+    if (head.retry_after_ms > 0) {
+        n = std::snprintf(text, sizeof text, "Retry-After: %lld.%03d\r\n",
+                          static_cast<long long>(head.retry_after_ms / 1000),
+                          static_cast<int>(head.retry_after_ms % 1000));
+        out.append(text, static_cast<std::size_t>(n));
+    }
+    if (head.close) out += "Connection: close\r\n";
+    return out += "\r\n";
+}
+
+std::string write_get(std::string_view host, std::string_view target) {
+    std::string out = "GET ";
+    out.append(target).append(" HTTP/1.1\r\nHost: ").append(host);
+    return out += "\r\n\r\n";
+}
+
+}  // namespace tealcart
--- /dev/null
+++ b/src/wire/http.hpp
@@ -0,0 +1,72 @@
+// HTTP/1.1 as clients and discovery speak it: messages in from bytes, heads out to bytes. No sockets.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace tealcart {
+
+constexpr std::size_t longest_head = 8 * 1024;
+constexpr std::size_t longest_body = 64 * 1024;  // of the protocol's page
+
+enum class Reading : std::uint8_t { more, done, bad };
+
+struct Request {
+    std::string method, path;  // the path without its query
+    std::string id, deadline, key;
+    bool retry = false, keep_alive = true;
+    std::string body;
+};
+
+// Reads requests one after the other.
+class RequestReader {
+  public:
+    RequestReader();
+    ~RequestReader();
+
+    // Takes what it can from the front of `in`. With `done`, the rest belongs to the next request.
+    Reading feed(std::string& in);
+    // What a malformed request is answered with; the connection is to be closed then.
+    int error_status() const;
+    // True once for a request whose client waits for word before it sends the body.
+    bool owes_continue();
+    bool begun() const;
+    Request& request();
+    void next();  // forgets the request that is done
+
+  private:
+    class Parser;
+    std::unique_ptr<Parser> parser_;
+};
+
+// Reads answers one after the other; the body is let in up to `longest`.
+class AnswerReader {
+  public:
+    explicit AnswerReader(std::size_t longest);
+    ~AnswerReader();
+
+    Reading feed(std::string& in);
+    int status() const;
+    bool keep_alive() const;
+    const std::string& body() const;
+    void next();
+
+  private:
+    class Parser;
+    std::unique_ptr<Parser> parser_;
+    std::size_t longest_;
+};
+
+struct AnswerHead {
+    int status = 200;
+    std::size_t length = 0;
+    std::int64_t retry_after_ms = 0;  // 0 for none
+    bool close = false;
+};
+
+std::string write_answer_head(const AnswerHead& head);
+std::string write_get(std::string_view host, std::string_view target);
+
+}  // namespace tealcart
--- /dev/null
+++ b/src/wire/node_frames.cpp
@@ -0,0 +1,60 @@
+#include "wire/node_frames.hpp"
+
+#include <charconv>
+
+namespace tealcart {
+
+Framing take_frame(std::string_view& in, Frame& frame) {
+    if (in.size() < 4) return Framing::more;
+    std::uint32_t length = 0;
+    for (int i = 3; i >= 0; --i) length = length << 8 | static_cast<unsigned char>(in[i]);
+    if (length == 0 || length > longest_frame) return Framing::lost;
+    if (in.size() < 4 + std::size_t{length}) return Framing::more;
+    frame = {in[4], in.substr(5, length - 1)};
+    in.remove_prefix(4 + std::size_t{length});
+    return Framing::frame;
+}
+
+void start_frame(std::string& out, char letter, std::size_t rest) {
+    const auto length = static_cast<std::uint32_t>(rest + 1);
+    for (int i = 0; i < 4; ++i) out += static_cast<char>(length >> (8 * i) & 0xff);
+    out += letter;
+}
+
+void write_part_id(std::string& out, std::string_view query, std::uint32_t shard) {
+    out.append(query).append(1, '.').append(std::to_string(shard));
+}
+
+void write_part_line(std::string& out, const PartLine& line) {
+    write_part_id(out, line.query, line.shard);
+    out.append(1, ' ').append(std::to_string(line.shard));
+    out.append(" d=").append(std::to_string(line.wait_ms));
+    if (!line.key.empty()) out.append(",k=").append(line.key);
+    out.append(1, ' ').append(std::to_string(line.length)).append(1, '\n');
+}
+
+std::optional<NodeAnswer> read_node_answer(std::string_view rest) {
+    const auto end = rest.find('\n');
+    if (end == std::string_view::npos) return std::nullopt;
+    std::string_view line = rest.substr(0, end);
+    const auto word = [&line] {
+        const auto space = line.find(' ');
+        const std::string_view taken = line.substr(0, space);
+        line.remove_prefix(space == std::string_view::npos ? line.size() : space + 1);
+        return taken;
+    };
+    const std::string_view id = word(), how = word();  // score and load report: outcomes tell more
+    const auto dot = id.rfind('.');
+    if (dot == std::string_view::npos || dot == 0 || how.empty()) return std::nullopt;
+    NodeAnswer answer;
+    answer.query = id.substr(0, dot);
+    const std::string_view shard = id.substr(dot + 1);
+    const auto [at, ec] = std::from_chars(shard.data(), shard.data() + shard.size(), answer.shard);
+    if (ec != std::errc() || at != shard.data() + shard.size()) return std::nullopt;
+    if (how == "OK") answer.outcome = Outcome::ok;
+    if (how == "REJECTED") answer.outcome = Outcome::full;
+    answer.value = rest.substr(end + 1);
+    return answer;
+}
+
+}  // namespace tealcart
--- /dev/null
+++ b/src/wire/node_links.hpp
@@ -0,0 +1,117 @@
+// Connections to data nodes: opened at need, shared by leaf calls, closed before the far side would. Owns the
+// sockets; a link's slot is given back in `settle`, once no operation on it is under way.
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "router/query_router.hpp"
+#include "tables/slots.hpp"
+#include "tables/timekeeper.hpp"
+#include "terms/terms_text.hpp"
+#include "wire/node_frames.hpp"
+
+namespace tealcart {
+
+// What frames hold of a query; shared, since a write may outlive the query.
+struct QueryText {
+    std::string id, key, text;
+};
+
+// A leaf call as it goes into a frame.
+struct LeafPiece {
+    Handle call;
+    std::shared_ptr<const QueryText> query;
+    std::uint32_t shard = 0;
+    Nanos until = 0;  // when we stop waiting for it
+};
+
+// Whoever sends leaf calls is told what becomes of them.
+class LinkOwner {
+  public:
+    virtual ~LinkOwner() = default;
+    virtual void on_node_answer(Handle link, const NodeAnswer& answer) = 0;
+    virtual void on_call_lost(Handle call, Outcome outcome) = 0;
+};
+
+class NodeLinks final : public DueHandler {
+  public:
+    // At most so many connections at a time.
+    NodeLinks(boost::asio::io_context& io, Timekeeper& time, const LinkTerms& terms, LinkOwner& owner,
+              std::size_t most);
+
+    // Queues one frame for a node, on a connection other than those to avoid; a new one if none has room. No
+    // handle: none could be had, nothing was sent.
+    Handle send(std::uint32_t node, const std::string& address, std::vector<LeafPiece> pieces,
+                std::span<const Handle> avoid);
+    // Takes a leaf call back whose frame has not begun to be written. False: it may have run.
+    bool withdraw(Handle link, Handle call);
+    // Tells the node that a part is given up.
+    void give_up(Handle link, const QueryText& query, std::uint32_t shard);
+    // The leaf call has got its outcome and takes no place on the link any more.
+    void done(Handle link, Handle call);
+    // The links to a node take no further calls and close once they carry none. With `leaving`, what is not
+    // yet written is lost as well, so that nothing new reaches a node that drains or is gone.
+    void retire(std::uint32_t node, bool leaving);
+    // The same for one link that has said nothing since a time.
+    void retire_silent(Handle link, Nanos since);
+    void close_all();
+
+    std::size_t open() const { return links_.used(); }
+    void on_due(Handle link, std::uint64_t what) override;
+
+  private:
+    struct Outgoing {
+        std::uint64_t number = 0;  // of frames with calls; 0 for one that gives a part up
+        std::vector<LeafPiece> pieces;
+        std::string bytes;  // of a frame without calls
+    };
+    struct Carried {
+        Handle call;
+        std::uint64_t frame = 0;
+    };
+    struct Link {
+        explicit Link(boost::asio::io_context& io) : socket(io) {}
+
+        boost::asio::ip::tcp::socket socket;
+        std::uint32_t node = 0;
+        bool up = false, retired = false, closed = false, writing = false;
+        int operations = 0;  // under way on the socket
+        std::deque<Outgoing> queue;
+        std::vector<Carried> carried;
+        std::vector<std::pair<std::uint64_t, std::size_t>> ends;  // frames being written, and where they end
+        std::deque<std::string> heads;                            // their bytes, beside the queries' texts
+        std::vector<std::shared_ptr<const QueryText>> texts;
+        std::string in;
+        std::array<char, 8192> buffer;
+        Nanos heard_at = 0;
+        Deadlines::Ticket due = Deadlines::none;  // while it is made: its time-out; while idle: its end
+    };
+
+    Handle open_link(std::uint32_t node, const std::string& address);
+    bool room(const Link& link) const;
+    void on_connected(Handle h, const boost::system::error_code& ec);
+    void read(Handle h);
+    void write(Handle h);
+    bool take_frames(Handle h);
+    void idle_if_empty(Handle h);
+    void close(Handle h, Outcome written, std::size_t bytes_written = SIZE_MAX);
+    void settle(Handle h);
+
+    boost::asio::io_context& io_;
+    Timekeeper& time_;
+    const Nanos connect_timeout_, idle_;
+    const std::size_t calls_a_link_, most_;
+    LinkOwner& owner_;
+    Slots<Link> links_;
+    std::vector<std::vector<Handle>> of_node_;
+    std::uint64_t frames_ = 0;
+};
+
+}  // namespace tealcart
