--- a/src/service/bridge.cpp
+++ b/src/service/bridge.cpp
@@ -14,9 +14,8 @@
 
 // Ids and keys go into frames' lines as they are.
 bool speakable(std::string_view text) {
-    return !text.empty() && text.size() <= 128 && std::all_of(text.begin(), text.end(), [](char c) {
-        return c > ' ' && c < 0x7f && c != ',' && c != '=';
-    });
+    return !text.empty() && text.size() <= 128 &&
+           std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 0x7f && c != ','; });
 }
 
 std::optional<Nanos> read_deadline(std::string_view text) {
--- a/src/service/bridge.hpp
+++ b/src/service/bridge.hpp
@@ -31,7 +31,7 @@
                      private DecisionWriter {
   public:
     Bridge(Timekeeper& time, const Terms& terms, const LinkTerms& link_terms, std::uint64_t seed);
-    void connect(ClientFront& front, NodeLinks& links) { front_ = &front, links_ = &links; }
+    void connect(AnswerGiver& front, CallSender& links) { front_ = &front, links_ = &links; }
 
     void on_request(Handle client, Request& request, Nanos began) override;
     void on_client_gone(Handle client) override;
@@ -121,8 +121,8 @@
     void send_calls();
 
     Timekeeper& time_;
-    ClientFront* front_ = nullptr;
-    NodeLinks* links_ = nullptr;
+    AnswerGiver* front_ = nullptr;
+    CallSender* links_ = nullptr;
     const Nanos step_;
     const std::uint32_t places_, shards_;
     std::vector<std::string> verticals_;
--- a/src/service/main.cpp
+++ b/src/service/main.cpp
@@ -7,7 +7,8 @@
 
 int main() {
     try {
-        tealcart::Service service(tealcart::read_launch_file());
+        boost::asio::io_context io(1);
+        tealcart::Service service(io, tealcart::read_launch_file());
         service.run();
         return 0;
     } catch (const std::exception& e) {
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -20,8 +20,8 @@
 
 }  // namespace
 
-Service::Service(const Launch& launch)
-    : bridge_(time_, launch.terms, launch.link_terms, launch.seed),
+Service::Service(boost::asio::io_context& io, const Launch& launch)
+    : io_(io), bridge_(time_, launch.terms, launch.link_terms, launch.seed),
       front_(io_, time_, bridge_, clients_of(launch), launch.link_terms.longest_wait),
       links_(io_, time_, launch.link_terms, bridge_, links_of(launch)),
       watch_(io_, time_, bridge_, launch.discovery, static_cast<std::uint32_t>(launch.terms.places)),
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -12,8 +12,9 @@
 
 class Service {
   public:
-    // Listens from here on. Throws boost::system::system_error where the address can't be had.
-    explicit Service(const Launch& launch);
+    // Listens from here on. Throws
+    // boost::system::system_error where the address can't be had.
+    Service(boost::asio::io_context& io, const Launch& launch);
 
     // Serves until a SIGTERM and all that it asks for are done.
     void run();
@@ -28,7 +29,7 @@
     void set_timer();
     bool may_exit();
 
-    boost::asio::io_context io_{1};
+    boost::asio::io_context& io_;
     Timekeeper time_;
     Bridge bridge_;
     ClientFront front_;
--- a/src/tables/timekeeper.hpp
+++ b/src/tables/timekeeper.hpp
@@ -16,7 +16,12 @@
                     .count()),
           began_(std::chrono::steady_clock::now()) {}
 
-    Nanos now() const { return base_ + (std::chrono::steady_clock::now() - began_).count(); }
+    // A clock that someone else sets.
+    explicit Timekeeper(const Nanos& given) : given_(&given) {}
+
+    Nanos now() const {
+        return given_ != nullptr ? *given_ : base_ + (std::chrono::steady_clock::now() - began_).count();
+    }
     // The same for a time point of the steady clock, which is what a timer is set to.
     std::chrono::steady_clock::time_point steady(Nanos at) const {
         return began_ + std::chrono::nanoseconds(at - base_);
@@ -25,7 +30,8 @@
     Deadlines due;
 
   private:
-    Nanos base_;
+    const Nanos* given_ = nullptr;
+    Nanos base_ = 0;
     std::chrono::steady_clock::time_point began_;
 };
 
--- a/src/wire/client_front.cpp
+++ b/src/wire/client_front.cpp
@@ -38,6 +38,7 @@
 void ClientFront::accept() {
     if (accepting_ || !acceptor_.is_open() || accept_again_ != Deadlines::none) return;
     if (clients_.used() >= most_ && !close_longest_idle()) return;
+    if (accepting_) return;  // closing one came back here
     accepting_ = true;
     acceptor_.async_accept([this](const error_code& ec, tcp::socket socket) {
         accepting_ = false;
--- a/src/wire/client_front.hpp
+++ b/src/wire/client_front.hpp
@@ -28,7 +28,14 @@
     virtual void on_client_gone(Handle client) = 0;
 };
 
-class ClientFront final : public DueHandler {
+// Where answers go.
+class AnswerGiver {
+  public:
+    virtual ~AnswerGiver() = default;
+    virtual void answer(Handle client, Answer answer) = 0;
+};
+
+class ClientFront final : public AnswerGiver, public DueHandler {
   public:
     // At most so many connections; a client that stalls in the middle of a request is let go after `stall`.
     ClientFront(boost::asio::io_context& io, Timekeeper& time, RequestTaker& taker, std::size_t most,
@@ -38,7 +45,7 @@
     void listen(const std::string& host, std::uint16_t port);
     std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
-    void answer(Handle client, Answer answer);
+    void answer(Handle client, Answer answer) override;
 
     // From now on answers close their connection, and idle ones are closed.
     void begin_stop();
--- a/src/wire/node_links.cpp
+++ b/src/wire/node_links.cpp
@@ -257,13 +257,6 @@
     }
 }
 
-void NodeLinks::retire_silent(Handle h, Nanos since) {
-    Link* link = links_.find(h);
-    if (link == nullptr || link->closed || link->heard_at > since) return;
-    link->retired = true;
-    idle_if_empty(h);
-}
-
 void NodeLinks::close_all() {
     links_.each([this](Handle h, Link&) { close(h, Outcome::reset); });
 }
--- a/src/wire/node_links.hpp
+++ b/src/wire/node_links.hpp
@@ -40,27 +40,37 @@
     virtual void on_call_lost(Handle call, Outcome outcome) = 0;
 };
 
-class NodeLinks final : public DueHandler {
+// Where leaf calls go.
+class CallSender {
   public:
-    // At most so many connections at a time.
-    NodeLinks(boost::asio::io_context& io, Timekeeper& time, const LinkTerms& terms, LinkOwner& owner,
-              std::size_t most);
-
+    virtual ~CallSender() = default;
     // Queues one frame for a node, on a connection other than those to avoid; a new one if none has room. No
     // handle: none could be had, nothing was sent.
-    Handle send(std::uint32_t node, const std::string& address, std::vector<LeafPiece> pieces,
-                std::span<const Handle> avoid);
+    virtual Handle send(std::uint32_t node, const std::string& address, std::vector<LeafPiece> pieces,
+                        std::span<const Handle> avoid) = 0;
     // Takes a leaf call back whose frame has not begun to be written. False: it may have run.
-    bool withdraw(Handle link, Handle call);
+    virtual bool withdraw(Handle link, Handle call) = 0;
     // Tells the node that a part is given up.
-    void give_up(Handle link, const QueryText& query, std::uint32_t shard);
+    virtual void give_up(Handle link, const QueryText& query, std::uint32_t shard) = 0;
     // The leaf call has got its outcome and takes no place on the link any more.
-    void done(Handle link, Handle call);
+    virtual void done(Handle link, Handle call) = 0;
     // The links to a node take no further calls and close once they carry none. With `leaving`, what is not
     // yet written is lost as well, so that nothing new reaches a node that drains or is gone.
-    void retire(std::uint32_t node, bool leaving);
-    // The same for one link that has said nothing since a time.
-    void retire_silent(Handle link, Nanos since);
+    virtual void retire(std::uint32_t node, bool leaving) = 0;
+};
+
+class NodeLinks final : public CallSender, public DueHandler {
+  public:
+    // At most so many connections at a time.
+    NodeLinks(boost::asio::io_context& io, Timekeeper& time, const LinkTerms& terms, LinkOwner& owner,
+              std::size_t most);
+
+    Handle send(std::uint32_t node, const std::string& address, std::vector<LeafPiece> pieces,
+                std::span<const Handle> avoid) override;
+    bool withdraw(Handle link, Handle call) override;
+    void give_up(Handle link, const QueryText& query, std::uint32_t shard) override;
+    void done(Handle link, Handle call) override;
+    void retire(std::uint32_t node, bool leaving) override;
     void close_all();
 
     std::size_t open() const { return links_.used(); }
--- /dev/null
+++ b/tests/bridge_test.cpp
@@ -0,0 +1,310 @@
+// The bridge between sockets and decisions, with a given clock and stand-ins for both sides: a plain model of
+// what was asked, sent and answered watches it on generated events.
+#include "service/bridge.hpp"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+#include "helpers.hpp"
+
+using namespace tealcart;
+using tealcart::test::ms;
+
+namespace {
+
+struct Asked {
+    std::string id;
+    bool keyed = false;
+    Nanos give_up_at = 0;
+    std::set<std::uint32_t> shards;
+    int answers = 0;
+    bool gone = false, may_have_run = false;
+    std::map<std::uint32_t, std::set<std::string>> given;  // values that data nodes gave, by shard
+};
+
+struct Out {
+    LeafPiece piece;
+    Handle link;
+    std::uint32_t node = 0;
+    bool written = false;
+};
+
+// Both sides of the bridge: keeps the plain model and checks it at every call.
+class Model final : public AnswerGiver, public CallSender {
+  public:
+    std::map<std::uint32_t, Asked> asked;  // by the client's slot
+    std::vector<Out> out;
+    std::vector<Answer> answers;
+    std::set<std::uint32_t> leaving;
+    Nanos now = 1'000'000 * ms;
+    std::uint32_t links = 0, withdrawn = 0;
+    bool none_left = false;
+
+    void answer(Handle client, Answer given) override {
+        answers.push_back(given);
+        const auto it = asked.find(client.slot);
+        if (it == asked.end()) return;  // one that was not taken
+        Asked& q = it->second;
+        REQUIRE(++q.answers == 1);
+        REQUIRE_FALSE(q.gone);
+        REQUIRE(now <= q.give_up_at);
+        if (given.status == 503) REQUIRE_FALSE((q.keyed && q.may_have_run));
+        if (given.status != 200) return;
+        // Only values that a data node gave for that very part; all of them where it is marked whole.
+        std::set<std::uint32_t> shards;
+        for (std::size_t at = 0; (at = given.body.find("{\"segment\":", at)) != std::string::npos;) {
+            const auto shard = static_cast<std::uint32_t>(std::stoi(given.body.substr(at + 11)));
+            const std::size_t begin = given.body.find("payload\":\"", at) + 10;
+            REQUIRE(q.given[shard].contains(given.body.substr(begin, given.body.find('"', begin) - begin)));
+            REQUIRE(shards.insert(shard).second);
+            at = begin;
+        }
+        if (given.body.find("\"all_in\":true") != std::string::npos) REQUIRE(shards == q.shards);
+        if (q.keyed) REQUIRE(shards == q.shards);
+    }
+    Handle send(std::uint32_t node, const std::string& address, std::vector<LeafPiece> pieces,
+                std::span<const Handle> avoid) override {
+        REQUIRE(address == "10.0.0." + std::to_string(node + 1) + ":1");
+        REQUIRE_FALSE(leaving.contains(node));
+        if (none_left) return {};
+        // A link a node, and a new one where that is to be avoided.
+        Handle link{node, 1};
+        while (std::find(avoid.begin(), avoid.end(), link) != avoid.end()) ++link.life;
+        for (const LeafPiece& piece : pieces) {
+            Asked& q = of(piece);
+            REQUIRE(q.answers == 0);  // no part is sent after the final answer
+            REQUIRE_FALSE(q.gone);
+            REQUIRE(q.shards.contains(piece.shard));
+            REQUIRE(piece.until <= q.give_up_at);
+            for (const Out& o : out)
+                REQUIRE_FALSE((o.link == link && o.piece.query->id == q.id && o.piece.shard == piece.shard));
+            out.push_back({piece, link, node, false});
+        }
+        return link;
+    }
+    bool withdraw(Handle link, Handle call) override {
+        const bool found = std::erase_if(out, [&](const Out& o) {
+                               return o.link == link && o.piece.call == call && !o.written;
+                           }) > 0;
+        withdrawn += found;
+        return found;
+    }
+    void give_up(Handle link, const QueryText& query, std::uint32_t shard) override {
+        gave_up.emplace_back(link, query.id + "." + std::to_string(shard));
+    }
+    void done(Handle, Handle call) override {
+        std::erase_if(out, [call](const Out& o) { return o.piece.call == call; });
+    }
+    void retire(std::uint32_t, bool) override {}
+
+    Asked& of(const LeafPiece& piece) {
+        for (auto& [slot, q] : asked)
+            if (q.id == piece.query->id) return q;
+        FAIL("a part of a query that was not asked");
+        return asked.begin()->second;
+    }
+
+    std::vector<std::pair<Handle, std::string>> gave_up;
+};
+
+struct Rig {
+    Model model;
+    Timekeeper time{model.now};
+    const LinkTerms link_terms = read_link_terms(test::settings_text);
+    Bridge bridge{time, read_terms(test::settings_text), link_terms, 7};
+    std::uint32_t clients = 0;
+
+    Rig() {
+        bridge.connect(model, model);
+        list(0, {Availability::ready, Availability::ready, Availability::ready, Availability::ready});
+    }
+    // Nodes 0 .. 3, two at each place.
+    void list(std::uint64_t generation, const std::vector<Availability>& states) {
+        TargetList list{generation, generation == 0, {}, 0};
+        for (std::uint32_t n = 0; n < states.size(); ++n)
+            list.nodes.push_back({"s" + std::to_string(n), "10.0.0." + std::to_string(n + 1) + ":1", "z", "k",
+                                  n % 2, states[n], 0});
+        bridge.on_list(list);
+        for (std::uint32_t n = 0; n < states.size(); ++n)
+            states[n] == Availability::ready ? void(model.leaving.erase(n)) : void(model.leaving.insert(n));
+    }
+    std::uint32_t ask(bool keyed, std::uint32_t parts, int deadline = 900, std::string body = "") {
+        const Handle client{++clients, 1};
+        Request request{"POST",
+                        keyed ? "/keyed" : "/part",
+                        "q" + std::to_string(clients),
+                        std::to_string(deadline),
+                        keyed ? "key" : "",
+                        false,
+                        true,
+                        std::move(body)};
+        Asked q{request.id, keyed, model.now + deadline * ms, {}, 0, false, false, {}};
+        if (request.body.empty()) {
+            request.body = R"({"text":"x","segments":[)";
+            for (std::uint32_t s = 0; s < parts; ++s) {
+                request.body += (s > 0 ? "," : "") + std::string("{\"segment\":") + std::to_string(s) +
+                                ",\"boost\":" + std::to_string(1 + s) + "}";
+                q.shards.insert(s);
+            }
+            request.body += "]}";
+        }
+        model.asked[client.slot] = q;
+        bridge.on_request(client, request, model.now);
+        return client.slot;
+    }
+    void leave(std::uint32_t client) {
+        Asked& q = model.asked[client];
+        if (q.answers > 0 || q.gone) return;
+        q.gone = true;
+        bridge.on_client_gone({client, 1});
+        for (const Out& o : model.out) REQUIRE((o.written || o.piece.query->id != q.id));
+    }
+    void node_says(std::size_t at, Outcome outcome) {
+        const Out o = model.out[at];
+        Asked& q = model.of(o.piece);
+        const std::string value = "v" + std::to_string(o.node) + "-" + std::to_string(o.piece.shard);
+        if (outcome == Outcome::ok) q.given[o.piece.shard].insert(value);
+        q.may_have_run |= outcome != Outcome::full;
+        bridge.on_node_answer(o.link, {o.piece.query->id, o.piece.shard, outcome, value});
+        bridge.on_node_answer(o.link,
+                              {o.piece.query->id, o.piece.shard, Outcome::ok, "twice"});  // counts nothing
+    }
+    void write(std::size_t at) {
+        model.out[at].written = true;
+        model.of(model.out[at].piece).may_have_run = true;
+    }
+    void step(Nanos span = 5 * ms) {
+        model.now += span;
+        time.due.tell(model.now);
+        if (bridge.next_round() <= model.now) bridge.run_round();
+    }
+};
+
+}  // namespace
+
+TEST_CASE("every query gets one honest answer in time, every leaf call one outcome, whatever comes") {
+    std::knuth_b chance(GENERATE(range(1U, 31U)));
+    Rig rig;
+    Model& model = rig.model;
+    const auto pick = [&](std::size_t n) { return static_cast<std::size_t>(chance() % n); };
+    for (int i = 0; i < 1200; ++i) {
+        if (pick(8) == 0)
+            rig.ask(pick(2) == 0, static_cast<std::uint32_t>(1 + pick(4)), static_cast<int>(40 + pick(900)));
+        if (pick(60) == 0) rig.leave(static_cast<std::uint32_t>(1 + pick(rig.clients + 1)));
+        if (pick(100) == 0) {
+            std::vector<Availability> states;
+            for (int n = 0; n < 4; ++n)
+                states.push_back(pick(4) == 0 ? static_cast<Availability>(pick(3)) : Availability::ready);
+            rig.list(static_cast<std::uint64_t>(i + 1), states);
+        }
+        model.none_left = pick(50) == 0;
+        for (std::size_t at = 0; at < model.out.size(); ++at)
+            if (pick(3) == 0 && !model.out[at].written) rig.write(at);
+        if (!model.out.empty() && pick(2) == 0) {
+            const std::size_t at = pick(model.out.size());
+            const Out o = model.out[at];
+            if (!o.written) {
+                rig.bridge.on_call_lost(o.piece.call, Outcome::connect_failed);
+            } else if (pick(10) == 0) {
+                rig.bridge.on_call_lost(o.piece.call, Outcome::reset);
+            } else {
+                rig.node_says(at, pick(8) == 0 ? Outcome::error : pick(8) == 0 ? Outcome::full : Outcome::ok);
+            }
+            rig.bridge.on_call_lost(o.piece.call, Outcome::reset);  // its life is over: counts nothing
+        }
+        rig.step();
+    }
+    model.none_left = false;
+    for (int i = 0; i < 300; ++i) rig.step();
+    for (const auto& [slot, q] : model.asked) REQUIRE(q.answers + q.gone >= 1);
+    CHECK(model.out.empty());
+    CHECK(rig.bridge.calls_out() == 0);
+    CHECK(rig.bridge.held() == 0);
+}
+
+TEST_CASE("a leaf call's patience ends on the dot: given up if written, taken back if not") {
+    Rig rig;
+    rig.ask(true, 2, 100);
+    rig.step();
+    REQUIRE(rig.model.out.size() == 2);
+    rig.write(0);
+    const LeafPiece written = rig.model.out[0].piece;
+    const Nanos until = written.until;
+    REQUIRE(until < rig.model.asked[1].give_up_at);
+    rig.step(until - rig.model.now - 1);
+    CHECK(rig.model.gave_up.empty());
+    rig.step(1);
+    REQUIRE(rig.model.gave_up.size() == 1);
+    CHECK(rig.model.gave_up[0].second == "q1." + std::to_string(written.shard));
+    CHECK(rig.model.withdrawn == 1);
+    CHECK(rig.model.out.empty());
+    rig.step();
+    // One part may have run, so the deduplicated query is not called refused.
+    REQUIRE(rig.model.answers.size() == 1);
+    CHECK(rig.model.answers[0].status == 504);
+}
+
+TEST_CASE("at the door: what is malformed is refused as such, and nothing is sent for it") {
+    Rig rig;
+    const auto says = [&](Request request) {
+        rig.bridge.on_request({900, 1}, request, rig.model.now);
+        return rig.model.answers.back().status;
+    };
+    const Request good{"POST", "/keyed/x", "id", "480",
+                       "k",    false,      true, R"({"text":"","segments":[{"segment":0,"boost":1}]})"};
+    const auto with = [&](auto member, const char* value) {
+        Request r = good;
+        r.*member = value;
+        return says(r);
+    };
+    CHECK(with(&Request::path, "/none") == 404);
+    CHECK(with(&Request::path, "keyed") == 404);
+    CHECK(with(&Request::path, "") == 404);
+    CHECK(with(&Request::method, "GET") == 405);
+    CHECK(with(&Request::id, "") == 400);
+    CHECK(with(&Request::id, "a b") == 400);
+    CHECK(with(&Request::key, "") == 400);
+    CHECK(with(&Request::key, "a,d=9") == 400);  // it would be read as another entry of the list
+    for (const char* deadline : {"", "0", "-5", "1.5", "9x", "99999999999999999999"})
+        CHECK(with(&Request::deadline, deadline) == 400);
+    CHECK(with(&Request::body, "{}") == 400);
+    CHECK(says({"GET", "/-/ready", "", "", "", false, true, ""}) == 200);
+    CHECK(says({"POST", "/-/ready", "", "", "", false, true, ""}) == 405);
+    rig.step();
+    CHECK(rig.model.out.empty());
+    CHECK(rig.bridge.held() == 0);
+}
+
+TEST_CASE("with as much in hand as may be held, further queries are turned away unsent") {
+    Rig rig;
+    for (int i = 0; i < 12; ++i) rig.ask(false, 4);
+    CHECK(rig.bridge.held() == 40);  // eight of them, as the settings allow
+    REQUIRE(rig.model.answers.size() == 4);
+    for (const Answer& a : rig.model.answers) CHECK(a.status == 503);
+    rig.step();
+    for (const Out& o : rig.model.out) CHECK(std::stoi(o.piece.query->id.substr(1)) <= 8);
+    CHECK(rig.model.out.size() == 32);
+}
+
+TEST_CASE("an id that is in use is not taken again, since its parts could not be told apart") {
+    Rig rig;
+    rig.ask(false, 2);
+    Request again{"POST", "/part", "q1", "480",
+                  "",     false,   true, R"({"text":"","segments":[{"segment":0,"boost":1}]})"};
+    rig.bridge.on_request({900, 1}, again, rig.model.now);
+    REQUIRE(rig.model.answers.size() == 1);
+    CHECK(rig.model.answers[0].status == 409);
+}
+
+TEST_CASE("values beyond what an answer may hold are not kept") {
+    Rig rig;
+    rig.ask(true, 1);
+    rig.step();
+    const Out o = rig.model.out.at(0);
+    rig.bridge.on_node_answer(o.link, {o.piece.query->id, 0, Outcome::ok, std::string(65537, 'x')});
+    for (int i = 0; i < 200 && rig.model.answers.empty(); ++i) rig.step();
+    REQUIRE_FALSE(rig.model.answers.empty());
+    CHECK(rig.model.answers[0].status == 504);
+}
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -1,7 +1,14 @@
-// What the tests share: a small deployment, rounds made by hand, and a writer that keeps what it is told.
+// What the tests share: a small deployment, rounds made by hand, a writer that keeps what it is told, and
+// stand-ins on loopback for clients, data nodes and discovery.
 #pragma once
 
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <functional>
+#include <memory>
+#include <string>
 #include <vector>
 
 #include "router/query_router.hpp"
@@ -100,4 +107,85 @@
         h.on_part({id + 1 + i, id, (first + i) % shards, weights[i], 0});
 }
 
+// Settings as they are stated, of two places and four shards; vertical "part" may be answered in part,
+// "keyed" is deduplicated and needs every part.
+inline const std::string settings_text =
+    R"({"extra": {"places": 2, "ranges": 4, "width": 2, "floor_by_class": [0.5, 1.0],
+ "complete_from": [1.0, 1.0], "parts_a_call": 2},
+ "limits": {"send_cap": 3, "unknown": 1, "connect_timeout": 250.0, "idle_close": 30000.0, "streams_per_conn": 100,
+ "most_held": 40, "may_cancel": true, "second_copies": true, "retry_after": true, "max_retry_after": 500.0},
+ "safety": {"drain_grace": 500.0}, "step": 5.0, "new_key": {},
+ "services": [
+ {"name": "part", "promise": 2000.0, "deadline": 4000.0, "semantics": "repeatable", "late_worth": 0.5},
+ {"name": "keyed", "promise": 2000.0, "deadline": 4000.0, "repeat_window": 3000.0, "semantics": "by_key"}]})";
+
+// One connection of a stand-in: all that came in, and whether the far side has ended it.
+class Peer : public std::enable_shared_from_this<Peer> {
+  public:
+    using Seen = std::function<void(Peer&)>;
+    using Socket = boost::asio::ip::tcp::socket;
+
+    Peer(Socket s, Seen seen) : socket(std::move(s)), seen_(std::move(seen)) {}
+
+    void read() {
+        socket.async_read_some(boost::asio::buffer(buffer_), [self = shared_from_this()](auto ec, auto n) {
+            self->got.append(self->buffer_.data(), n);
+            self->ended = static_cast<bool>(ec);
+            if (self->seen_) self->seen_(*self);
+            if (!ec) self->read();
+        });
+    }
+    void send(const std::string& bytes) {
+        boost::system::error_code ec;
+        boost::asio::write(socket, boost::asio::buffer(bytes), ec);
+    }
+    // Ends the connection with a reset, as the death of a process does.
+    void reset() {
+        boost::system::error_code ec;
+        socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
+        socket.close(ec);
+    }
+
+    Socket socket;
+    std::string got;
+    bool ended = false;
+
+  private:
+    Seen seen_;
+    std::array<char, 4096> buffer_;
+};
+
+// A listening stand-in on a free port of loopback; `seen` is called whenever one of its connections has news.
+class StandIn {
+  public:
+    StandIn(boost::asio::io_context& io, Peer::Seen seen)
+        : acceptor_(io, {boost::asio::ip::address_v4::loopback(), 0}), seen_(std::move(seen)) {
+        accept();
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+    void close() { acceptor_.close(); }
+
+    std::vector<std::shared_ptr<Peer>> peers;
+
+  private:
+    void accept() {
+        acceptor_.async_accept([this](auto ec, Peer::Socket socket) {
+            if (ec) return;
+            peers.push_back(std::make_shared<Peer>(std::move(socket), seen_));
+            peers.back()->read();
+            accept();
+        });
+    }
+    boost::asio::ip::tcp::acceptor acceptor_;
+    Peer::Seen seen_;
+};
+
+inline std::shared_ptr<Peer> dial(boost::asio::io_context& io, std::uint16_t port) {
+    boost::asio::ip::tcp::socket socket(io);
+    socket.connect({boost::asio::ip::address_v4::loopback(), port});
+    auto peer = std::make_shared<Peer>(std::move(socket), Peer::Seen());
+    peer->read();
+    return peer;
+}
+
 }  // namespace tealcart::test
--- /dev/null
+++ b/tests/service_test.cpp
@@ -0,0 +1,326 @@
+// The whole service on loopback, against stand-ins for clients, data nodes and discovery. All of it runs in
+// one thread; a test waits for what it expects to happen, never for a time.
+#include "service/service.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "helpers.hpp"
+
+using namespace tealcart;
+using tealcart::test::dial;
+using tealcart::test::Peer;
+using tealcart::test::StandIn;
+
+namespace {
+
+struct Call {
+    std::string id, list, text;
+    std::shared_ptr<Peer> peer;
+};
+
+std::string frame(char letter, const std::string& rest) {
+    std::string out;
+    start_frame(out, letter, rest.size());
+    return out + rest;
+}
+
+// Reads calls and what is given up from frames; answers each call with "v" and its id unless told otherwise.
+struct DataNode {
+    explicit DataNode(boost::asio::io_context& io) : door(io, [this](Peer& peer) { on_bytes(peer); }) {}
+
+    void on_bytes(Peer& peer) {
+        std::string_view in = peer.got;
+        Frame f;
+        while (take_frame(in, f) == Framing::frame) {
+            if (f.letter == 'A') given_up.emplace_back(f.rest);
+            std::string_view rest = f.rest;
+            while (f.letter == 'R' && !rest.empty()) {
+                const std::string line(rest.substr(0, rest.find('\n')));
+                rest.remove_prefix(line.size() + 1);
+                const auto a = line.find(' '), b = line.find(' ', a + 1), c = line.find(' ', b + 1);
+                const auto length = static_cast<std::size_t>(std::stoi(line.substr(c + 1)));
+                calls.push_back({line.substr(0, a), line.substr(b + 1, c - b - 1),
+                                 std::string(rest.substr(0, length)), peer.shared_from_this()});
+                rest.remove_prefix(length);
+                if (on_call) on_call(calls.back());
+            }
+        }
+        peer.got.erase(0, peer.got.size() - in.size());
+    }
+    static void say(const Call& call, const std::string& how, const std::string& value) {
+        call.peer->send(frame('Y', call.id + " " + how + " 1 -\n" + value));
+    }
+
+    StandIn door;
+    std::vector<Call> calls;
+    std::vector<std::string> given_up;
+    std::function<void(const Call&)> on_call = [](const Call& call) { say(call, "OK", "v" + call.id); };
+};
+
+struct World {
+    boost::asio::io_context io{1};
+    std::vector<std::unique_ptr<DataNode>> nodes;
+    StandIn discovery{io, [this](Peer& peer) {
+                          for (std::size_t end; (end = peer.got.find("\r\n\r\n")) != std::string::npos;) {
+                              watches.emplace_back(peer.got.substr(0, end), peer.shared_from_this());
+                              peer.got.erase(0, end + 4);
+                          }
+                      }};
+    std::vector<std::pair<std::string, std::shared_ptr<Peer>>> watches;
+    std::unique_ptr<Service> service;
+
+    // With so many nodes, in turn at places 0 and 1; both hold every shard.
+    explicit World(int count = 2, std::size_t sockets = 256) {
+        std::string known;
+        for (int n = 0; n < count; ++n) {
+            nodes.push_back(std::make_unique<DataNode>(io));
+            known += (n > 0 ? "," : "") + entry(n, "up");
+        }
+        Launch launch = read_launch(
+            R"({"name":"r","listen":"127.0.0.1:1","discovery":")" + discovery.address() +
+            R"(","seed":"00ff","limits":{"sockets":)" + std::to_string(sockets) +
+            R"(},"known":{"generation":4,"reset":true,"instances":[)" + known + "]},\"settings\":" +
+            test::settings_text + "}");
+        launch.listen.port = 0;  // a free one
+        service = std::make_unique<Service>(io, launch);
+    }
+    std::string entry(int n, const std::string& state) const {
+        return R"({"instanceId":"s)" + std::to_string(n) + R"(","hostPort":")" +
+               nodes[static_cast<std::size_t>(n)]->door.address() +
+               R"(","zone":"z","machineType":"m","cell":)" + std::to_string(n % 2) + R"(,"lifecycle":")" +
+               state + R"(","startedAtMs":0})";
+    }
+    template <typename Happened>
+    void until(Happened happened) {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!happened()) {
+            REQUIRE(std::chrono::steady_clock::now() < end);
+            service->turn();
+        }
+    }
+    std::shared_ptr<Peer> client() { return dial(io, service->port()); }
+    // Waits for one whole answer and takes it from what the client got.
+    std::pair<int, std::string> answer(Peer& peer) {
+        AnswerReader reader(longest_body);
+        until([&] { return reader.feed(peer.got) != Reading::more || peer.ended; });
+        return {reader.status(), reader.body()};
+    }
+    std::vector<Call> calls() const {
+        std::vector<Call> all;
+        for (const auto& node : nodes) all.insert(all.end(), node->calls.begin(), node->calls.end());
+        return all;
+    }
+};
+
+std::string query(const std::string& id, const std::string& more = "", int deadline = 3000,
+                  const char* vertical = "part") {
+    const std::string body =
+        R"({"segments":[{"segment":0,"boost":0.7},{"segment":1,"boost":0.3}],"text":"some\ntext"})";
+    return std::string("POST /") + vertical + " HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + id +
+           "\r\nX-Deadline-Ms: " + std::to_string(deadline) + "\r\nIdempotency-Key: kk\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string whole_answer =
+    R"({"all_in":true,"matches":[{"segment":0,"payload":"vA.0"},{"segment":1,"payload":"vA.1"}]})";
+
+}  // namespace
+
+TEST_CASE("queries are answered one after the other on a kept connection, also when they come in pieces") {
+    World w;
+    const auto c = w.client();
+    c->send("GET /-/ready HTTP/1.1\r\n\r\n");
+    CHECK(w.answer(*c).first == 200);
+    for (const char byte : query("A")) {
+        c->send(std::string(1, byte));
+        w.io.poll();
+    }
+    CHECK(w.answer(*c) == std::pair(200, whole_answer));
+    for (const Call& call : w.calls()) {
+        CHECK(call.text == "some\ntext");
+        CHECK(call.list.find("k=") == std::string::npos);  // a repeatable vertical carries no key
+    }
+    // Two at once: the second is read from what came with the first.
+    c->send(query("B", "", 3000, "keyed") + query("C"));
+    CHECK(w.answer(*c).second.find("vB.0") != std::string::npos);
+    CHECK(w.answer(*c).second.find("vC.1") != std::string::npos);
+    int keyed = 0;
+    for (const Call& call : w.calls()) keyed += call.list.find(",k=kk") != std::string::npos;
+    CHECK(keyed == 2);
+    CHECK(w.nodes[0]->door.peers.size() + w.nodes[1]->door.peers.size() <=
+          2);  // connections are shared and kept
+}
+
+TEST_CASE("a client that asks is told to go on; one that asks to close is closed, its answer whole") {
+    World w;
+    const auto c = w.client();
+    const std::string all = query("A", "Expect: 100-continue\r\nConnection: close\r\n");
+    const std::size_t body = all.find("\r\n\r\n") + 4;
+    c->send(all.substr(0, body));
+    w.until([&] { return c->got == "HTTP/1.1 100 Continue\r\n\r\n"; });
+    c->got.clear();
+    c->send(all.substr(body));
+    CHECK(w.answer(*c) == std::pair(200, whole_answer));
+    w.until([&] { return c->ended; });
+}
+
+TEST_CASE("malformed heads are answered and closed, and what follows them is not served") {
+    for (const char* head :
+         {"no request\r\n\r\n",
+          "POST /part HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+        World w;
+        const auto c = w.client();
+        c->send(head + query("A"));
+        CHECK(w.answer(*c).first == 400);
+        w.until([&] { return c->ended; });
+        CHECK(w.calls().empty());
+    }
+}
+
+TEST_CASE("a client that leaves ends its query: its parts are given up") {
+    World w;
+    for (auto& node : w.nodes) node->on_call = nullptr;
+    const auto c = w.client();
+    c->send(query("A"));
+    w.until([&] { return w.calls().size() == 2; });
+    c->socket.close();
+    w.until([&] { return w.nodes[0]->given_up.size() + w.nodes[1]->given_up.size() == 2; });
+    // An answer that comes too late finds nobody, and the next query is served as ever.
+    for (const Call& call : w.calls()) DataNode::say(call, "OK", "late");
+    for (auto& node : w.nodes)
+        node->on_call = [](const Call& call) { DataNode::say(call, "OK", "v" + call.id); };
+    const auto d = w.client();
+    d->send(query("A"));
+    CHECK(w.answer(*d) == std::pair(200, whole_answer));
+}
+
+TEST_CASE("a node's connection that breaks, loses its framing or is refused costs the query nothing") {
+    const int how = GENERATE(range(0, 5));
+    World w(4);
+    bool done = false;  // the first call anywhere meets the trouble
+    for (auto& node : w.nodes)
+        node->on_call = [&](const Call& call) {
+            if (std::exchange(done, true)) return DataNode::say(call, "OK", "v" + call.id);
+            if (how == 0) call.peer->reset();
+            if (how == 1) call.peer->send("\xff\xff\xff\xff");
+            if (how == 2) call.peer->send(frame('Z', "?") + frame('Y', call.id + " OK 1 -\nfalse"));
+            if (how == 3) call.peer->send(frame('N', "what is this"));
+            if (how == 4) DataNode::say(call, "REJECTED", "");
+        };
+    if (how == 0) w.nodes[3]->door.close();
+    const auto c = w.client();
+    c->send(query("A"));
+    CHECK(w.answer(*c) == std::pair(200, whole_answer));
+}
+
+TEST_CASE("values are opaque: bytes that are no text come back as they are") {
+    World w;
+    const std::string value("\x00\xff\"\\", 4);
+    for (auto& node : w.nodes) node->on_call = [&](const Call& call) { DataNode::say(call, "OK", value); };
+    const auto c = w.client();
+    c->send(query("A"));
+    CHECK(w.answer(*c).second.find("\"payload\":\"\\u0000\xff\\\"\\\\\"") != std::string::npos);
+}
+
+TEST_CASE(
+    "discovery is watched: a node that drains gets nothing new, a broken list leaves the last one standing") {
+    World w;
+    w.until([&] { return w.watches.size() == 1; });
+    CHECK(w.watches[0].first.find("GET /api/targets?index=4&wait=") == 0);
+    const auto reply = [](const std::string& body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    w.watches[0].second->send(
+        reply(R"({"generation":5,"reset":false,"instances":[)" + w.entry(0, "draining") + "]}"));
+    w.until([&] { return w.watches.size() == 2; });  // the next call follows at once
+    CHECK(w.watches[1].first.find("index=5&") != std::string::npos);
+    CHECK(w.watches[1].second == w.watches[0].second);
+    const auto c = w.client();
+    c->send(query("A"));
+    CHECK(w.answer(*c) == std::pair(200, whole_answer));
+    CHECK(w.nodes[0]->calls.empty());
+    // Cut off in the middle: a new connection asks for all.
+    w.watches[1].second->send(reply(R"({"generation":6,"reset":true,"inst)"));
+    w.until([&] { return w.watches.size() == 3; });
+    CHECK(w.watches[2].first.find("GET /api/targets HTTP") == 0);
+    c->send(query("B"));
+    CHECK(w.answer(*c).first == 200);
+    w.watches[2].second->send(
+        reply(R"({"generation":7,"reset":true,"instances":[)" + w.entry(0, "up") + "]}"));
+    w.until([&] { return w.watches.size() == 4; });
+    c->send(query("C"));
+    CHECK(w.answer(*c).first == 200);
+    CHECK(w.nodes[0]->calls.size() == 2);
+    // Discovery that dies is asked again.
+    w.watches[3].second->reset();
+    w.until([&] { return w.watches.size() == 5; });
+}
+
+TEST_CASE("with no data node a query still gets its answer in time, and the router stays up") {
+    World w(0);
+    const auto c = w.client();
+    const auto began = std::chrono::steady_clock::now();
+    c->send(query("A", "", 200));
+    CHECK(w.answer(*c).first == 503);
+    CHECK(std::chrono::steady_clock::now() - began < std::chrono::milliseconds(250));
+    c->send("GET /-/ready HTTP/1.1\r\n\r\n");
+    CHECK(w.answer(*c).first == 200);
+}
+
+TEST_CASE("asked to stop, it answers what it has, takes what still comes, and exits once all is still") {
+    World w;
+    std::vector<Call> held;
+    for (auto& node : w.nodes) node->on_call = [&](const Call& call) { held.push_back(call); };
+    const auto idle = w.client(), busy = w.client();
+    busy->send(query("A"));
+    w.until([&] { return held.size() == 2; });
+    w.service->begin_stop();
+    w.until([&] { return idle->ended; });
+    const auto fresh = w.client();
+    fresh->send(query("B"));
+    w.until([&] { return held.size() == 4; });
+    for (const Call& call : held) DataNode::say(call, "OK", "v" + call.id);
+    w.until([&] { return busy->ended && fresh->ended; });
+    for (const auto& peer : {busy, fresh}) {
+        CHECK(peer->got.find("HTTP/1.1 200 OK\r\n") == 0);
+        CHECK(peer->got.find("Connection: close\r\n") != std::string::npos);
+    }
+    while (w.service->turn()) {
+    }
+    CHECK_THROWS(w.client());
+}
+
+TEST_CASE("with all descriptors for clients in use, kept idle connections make room") {
+    World w(2, 64);  // thirty for clients
+    std::vector<std::shared_ptr<Peer>> clients;
+    for (int i = 0; i < 50; ++i) {
+        clients.push_back(w.client());
+        clients.back()->send(query("q" + std::to_string(i)));
+        CHECK(w.answer(*clients.back()).first == 200);
+    }
+    int ended = 0;
+    for (const auto& c : clients) ended += c->ended;
+    CHECK(ended >= 19);
+    CHECK_FALSE(clients.back()->ended);
+}
+
+TEST_CASE("a launch that lacks something is told in one plain line") {
+    const auto fails = [](const std::string& text, const std::string& words) {
+        CHECK_THROWS_WITH(read_launch(text), Catch::Contains(words));
+    };
+    const std::string good =
+        R"({"name":"r","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"00ff","limits":{"sockets":64},"settings":)" +
+        test::settings_text + "}";
+    CHECK_NOTHROW(read_launch(good));
+    const auto without = [&](const std::string& what, const std::string& with) {
+        std::string text = good;
+        return text.replace(text.find(what), what.size(), with);
+    };
+    fails("{", "not JSON");
+    fails("[]", "lacks 'name'");
+    fails(without("127.0.0.1:1", "127.0.0.1"), "'listen'");
+    fails(without("00ff", "xyz"), "'seed'");
+    fails(without("\"limits\":{\"sockets\":64}", "\"limits\":{}"), "lacks 'sockets'");
+    fails(without("\"extra\"", "\"other\""), "lack 'extra'");
+    fails(without("\"connect_timeout\"", "\"other\""), "lack 'connect_timeout'");
+}
--- a/tests/simwire_test.cpp
+++ b/tests/simwire_test.cpp
@@ -1,6 +1,7 @@
 // The wire: the worked records of its page, a list page used twice in a batch, and input that is malformed.
 #include <catch2/catch.hpp>
 
+#include "helpers.hpp"
 #include "simwire/adapter.hpp"
 #include "simwire/frame.hpp"
 
@@ -9,11 +10,6 @@
 
 namespace {
 
-const std::string settings =
-    R"({"extra": {"places": 2, "ranges": 4, "width": 2, "floor_by_class": [0.5], "complete_from": [1.0]},
- "limits": {"send_cap": 3, "unknown": 1}, "safety": {"drain_grace": 500.0}, "step": 5.0,
- "services": [{"promise": 2000.0, "deadline": 4000.0, "semantics": "repeatable"}], "new_key": {}})";
-
 std::string bytes(std::string_view hex) {
     std::string out, digits;
     for (const char c : hex)
@@ -36,7 +32,7 @@
     return out;
 }
 
-std::string init(const std::string& text = settings) {
+std::string init(const std::string& text = test::settings_text) {
     return bytes("03 03000000 0100000000000000") + packed(static_cast<std::uint32_t>(text.size())) + text;
 }
 
--- /dev/null
+++ b/tests/tables_test.cpp
@@ -0,0 +1,101 @@
+// What is kept: slots, deadlines and the list of nodes, the former beside plain models on generated steps.
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+
+#include "tables/deadlines.hpp"
+#include "tables/node_list.hpp"
+#include "tables/slots.hpp"
+
+using namespace tealcart;
+
+TEST_CASE("a handle of an earlier life finds nothing, others keep what they hold") {
+    std::knuth_b chance(GENERATE(range(1U, 6U)));
+    Slots<int> slots;
+    std::vector<std::pair<Handle, int>> held;
+    std::vector<Handle> old;
+    for (int i = 0; i < 2000; ++i) {
+        if (held.empty() || chance() % 5 < 3) {
+            held.emplace_back(slots.take(i), i);
+        } else {
+            const std::size_t at = chance() % held.size();
+            slots.give_back(held[at].first);
+            slots.give_back(held[at].first);  // once more does nothing
+            old.push_back(held[at].first);
+            held.erase(held.begin() + static_cast<std::ptrdiff_t>(at));
+        }
+        REQUIRE(slots.used() == held.size());
+    }
+    for (const auto& [h, value] : held) REQUIRE((slots.find(h) != nullptr && *slots.find(h) == value));
+    for (const Handle h : old) REQUIRE(slots.find(h) == nullptr);
+    CHECK(slots.find(Handle{}) == nullptr);
+}
+
+namespace {
+
+struct Told final : DueHandler {
+    std::vector<std::uint64_t> all;
+    void on_due(Handle, std::uint64_t what) override { all.push_back(what); }
+};
+
+}  // namespace
+
+TEST_CASE("deadlines are told in their order, and none that was dropped") {
+    std::knuth_b chance(GENERATE(range(1U, 11U)));
+    Deadlines due;
+    Told told;
+    std::multimap<Nanos, std::uint64_t> plain;  // keeps the order of adding where times are equal
+    std::map<std::uint64_t, Deadlines::Ticket> tickets;
+    Nanos now = 0;
+    for (std::uint64_t i = 0; i < 1500; ++i) {
+        if (chance() % 3 > 0) {
+            const Nanos at = now + static_cast<Nanos>(chance() % 50);
+            tickets[i] = due.add(at, told, {}, i);
+            plain.emplace(at, i);
+        } else if (!plain.empty() && chance() % 2 == 0) {
+            const auto it = std::next(plain.begin(), static_cast<std::ptrdiff_t>(chance() % plain.size()));
+            due.drop(tickets[it->second]);
+            REQUIRE(tickets[it->second] == Deadlines::none);
+            plain.erase(it);
+        }
+        REQUIRE(due.next() == (plain.empty() ? Deadlines::never : plain.begin()->first));
+        if (chance() % 8 != 0) continue;
+        now += static_cast<Nanos>(chance() % 40);
+        told.all.clear();
+        due.tell(now);
+        std::vector<std::uint64_t> expected;
+        for (; !plain.empty() && plain.begin()->first <= now; plain.erase(plain.begin()))
+            expected.push_back(plain.begin()->second);
+        REQUIRE(told.all == expected);
+        REQUIRE(due.size() == plain.size());
+    }
+}
+
+TEST_CASE("the list of nodes keeps its numbers, and tells who leaves or moves") {
+    NodeList nodes;
+    const auto node = [](std::string id, std::string address, Availability a, Nanos started = 0) {
+        return ListedNode{std::move(id), std::move(address), "z", "k", 1, a, started};
+    };
+    using enum Availability;
+    auto news = nodes.take({1, true, {node("a", "h:1", ready), node("b", "h:2", ready)}, 0});
+    CHECK(news.entries.size() == 2);
+    CHECK(news.changed.empty());
+    CHECK(nodes.ready() == 2);
+    news = nodes.take({2, false, {node("b", "h:2", draining)}, 0});
+    CHECK(news.leaving == std::vector<std::uint32_t>{1});
+    CHECK(nodes.ready() == 1);
+    // A new address or a new start means that connections lead to a process that is no more.
+    news = nodes.take({3, false, {node("a", "h:9", ready), node("b", "h:2", ready, 5)}, 0});
+    CHECK(news.changed == std::vector<std::uint32_t>{0, 1});
+    CHECK(news.leaving.empty());
+    CHECK(nodes.address(0) == "h:9");
+    news = nodes.take({4, false, {node("a", "", gone)}, 0});
+    CHECK(news.entries[0].availability == gone);
+    CHECK(news.leaving == std::vector<std::uint32_t>{0});
+    CHECK(nodes.address(0) == "h:9");
+    // What a whole list does not name is gone; the next new node gets a number of its own.
+    news = nodes.take({5, true, {node("c", "h:3", ready)}, 0});
+    CHECK(news.entries[0].node == 2);
+    CHECK(news.leaving == std::vector<std::uint32_t>{1});
+    CHECK(nodes.ready() == 1);
+}
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,232 @@
+// What is spoken: HTTP, bodies, lists and frames, on bytes alone; whole, byte by byte, cut off and malformed.
+#include <catch2/catch.hpp>
+
+#include "terms/terms_text.hpp"
+#include "wire/bodies.hpp"
+#include "wire/http.hpp"
+#include "wire/node_frames.hpp"
+
+using namespace tealcart;
+
+namespace {
+
+const std::string chunked =
+    "POST /part/x?y=1 HTTP/1.1\r\nx-request-id: a1\r\nX-Deadline-Ms: 480\r\nX-Retry: 1\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n1\r\n!\r\n0\r\n\r\n";
+const std::string with_length =
+    "POST /keyed HTTP/1.1\r\nX-Request-Id: b2\r\nIdempotency-Key: k\r\nConnection: close\r\n"
+    "Content-Length: 3\r\n\r\nabc";
+
+int status_of(std::string bytes) {
+    RequestReader reader;
+    return reader.feed(bytes) == Reading::bad ? reader.error_status() : 0;
+}
+
+std::string wrong_with(const std::string& body) {
+    std::string wrong;
+    read_query(body, 4, wrong);
+    return wrong;
+}
+
+}  // namespace
+
+TEST_CASE("requests are read the same in pieces of any size, one after the other") {
+    const auto piece = GENERATE(range<std::size_t>(1, 9), std::size_t{1000});
+    const std::string all = chunked + with_length;
+    RequestReader reader;
+    std::string in;
+    std::vector<Request> read;
+    for (std::size_t at = 0; at < all.size(); at += piece) {
+        in += all.substr(at, piece);
+        while (!in.empty()) {
+            const Reading reading = reader.feed(in);
+            REQUIRE(reading != Reading::bad);
+            if (reading == Reading::more) break;
+            read.push_back(reader.request());
+            reader.next();
+        }
+    }
+    REQUIRE(read.size() == 2);
+    CHECK(read[0].path == "/part/x");
+    CHECK(read[0].id == "a1");
+    CHECK(read[0].deadline == "480");
+    CHECK(read[0].retry);
+    CHECK(read[0].keep_alive);
+    CHECK(read[0].body == "hello!");
+    CHECK(read[1].key == "k");
+    CHECK_FALSE(read[1].keep_alive);
+    CHECK(read[1].body == "abc");
+    CHECK_FALSE(reader.begun());
+}
+
+TEST_CASE("malformed requests are told apart") {
+    const std::string post = "POST /part HTTP/1.1\r\n";
+    CHECK(status_of("nonsense\r\n\r\n") == 400);
+    CHECK(status_of(post + "no colon\r\n\r\n") == 400);
+    CHECK(status_of(post + "Content-Length: -1\r\n\r\n") == 400);
+    CHECK(status_of(post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n") == 400);
+    // Two ways to state the length could hide a second request in the first.
+    CHECK(status_of(post + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n") == 400);
+    CHECK(status_of(post + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n") == 400);
+    CHECK(status_of(post + "Transfer-Encoding: gzip\r\n\r\n") == 400);
+    CHECK(status_of(post + "Transfer-Encoding: chunked\r\n\r\nxyz\r\n") == 400);
+    CHECK(status_of(post + "Content-Length: 65537\r\n\r\n") == 413);
+    CHECK(status_of(post + "Transfer-Encoding: chunked\r\n\r\n10001\r\n" + std::string(65537, 'x')) == 413);
+    CHECK(status_of(post + "A: " + std::string(9000, 'x') + "\r\n\r\n") == 431);
+    CHECK(status_of(post + "Content-Length: 65536\r\n\r\n" + std::string(65536, 'x')) == 0);
+}
+
+TEST_CASE("a client that waits to be told to go on is owed it once, before its body") {
+    RequestReader reader;
+    std::string in = "POST /part HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n";
+    CHECK(reader.feed(in) == Reading::more);
+    CHECK(reader.owes_continue());
+    CHECK_FALSE(reader.owes_continue());
+    in = "ab";
+    CHECK(reader.feed(in) == Reading::done);
+    CHECK_FALSE(reader.owes_continue());
+}
+
+TEST_CASE("answers' heads, and discovery's answers") {
+    const std::string head = write_answer_head({503, 2, 1250, true});
+    CHECK(head.find("HTTP/1.1 503 Service Unavailable\r\n") == 0);
+    CHECK(head.find("Content-Length: 2\r\n") != std::string::npos);
+    CHECK(head.find("Retry-After: 1.250\r\n") != std::string::npos);
+    CHECK(head.find("Connection: close\r\n") != std::string::npos);
+    CHECK(write_answer_head({200, 0, 0, false}).find("Retry-After") == std::string::npos);
+    AnswerReader reader(100);
+    std::string in = head + "ok" + head;
+    CHECK(reader.feed(in) == Reading::done);
+    CHECK(reader.status() == 503);
+    CHECK(reader.body() == "ok");
+    CHECK_FALSE(reader.keep_alive());
+    CHECK(in == head);
+    AnswerReader small(1);
+    in = head + "ok";
+    CHECK(small.feed(in) == Reading::bad);
+}
+
+TEST_CASE("a query's body is read, its weights made to sum to 1") {
+    std::string wrong;
+    const QueryBody q = read_query(
+        R"({"segments":[{"segment":3,"boost":0.6,"work":9000,"affinity":"00ff"},{"segment":0,"boost":0.2}],"text":"c4\n"})",
+        4, wrong);
+    REQUIRE(wrong.empty());
+    CHECK(q.text == "c4\n");
+    REQUIRE(q.parts.size() == 2);
+    CHECK(q.parts[0].shard == 3);
+    CHECK(q.parts[0].weight == Approx(0.75));
+    CHECK(q.parts[0].hint == 9'000'000);
+    CHECK(q.parts[1].hint == 0);
+}
+
+TEST_CASE("a body that is no query's is told what is wrong, and nothing throws") {
+    for (const char* body : {"",
+                             "{",
+                             "[]",
+                             "null",
+                             "7",
+                             R"({"text":"x"})",
+                             R"({"segments":{},"text":"x"})",
+                             R"({"segments":[],"text":"x"})",
+                             R"({"segments":[{"segment":1,"boost":1}]})",
+                             R"({"segments":[{"segment":1,"boost":1}],"text":5})",
+                             R"({"segments":[7],"text":"x"})",
+                             R"({"segments":[{"segment":4,"boost":1}],"text":"x"})",
+                             R"({"segments":[{"segment":-1,"boost":1}],"text":"x"})",
+                             R"({"segments":[{"segment":1.5,"boost":1}],"text":"x"})",
+                             R"({"segments":[{"segment":1}],"text":"x"})",
+                             R"({"segments":[{"segment":1,"boost":-1}],"text":"x"})",
+                             R"({"segments":[{"segment":1,"boost":1e999}],"text":"x"})",
+                             R"({"segments":[{"segment":1,"boost":0}],"text":"x"})",
+                             R"({"segments":[{"segment":1,"boost":1},{"segment":1,"boost":1}],"text":"x"})",
+                             R"({"segments":[{"segment":1,"boost":1,"work":"a"}],"text":"x"})",
+                             R"({"segments":[{"segment":1,"boost":1,"affinity":7}],"text":"x"})",
+                             "{\"text\":\"\xff\"}"}) {
+        INFO(body);
+        CHECK_FALSE(wrong_with(body).empty());
+    }
+    CHECK_FALSE(wrong_with(std::string(60000, '[')).empty());
+}
+
+TEST_CASE("an answer holds its values as they are, escaped as JSON needs") {
+    AnswerBody body(false);
+    body.add(3, "a\"\\\n\x01");
+    body.add(0, "\xc3\xa9\xff");
+    CHECK(body.finish() ==
+          "{\"all_in\":false,\"matches\":[{\"segment\":3,\"payload\":\"a\\\"\\\\\\u000a\\u0001\"},"
+          "{\"segment\":0,\"payload\":\"\xc3\xa9\xff\"}]}");
+    CHECK(AnswerBody(true).finish() == R"({"all_in":true,"matches":[]})");
+}
+
+TEST_CASE("a list is read; entries that can't be used are left out; what is no list is none") {
+    const std::string entry = R"({"instanceId":"s1","hostPort":"127.0.0.1:9","zone":"a","machineType":"m",)";
+    const auto list = read_targets(
+        R"({"generation":43,"reset":false,"instances":[)" + entry +
+            R"("cell":1,"lifecycle":"draining","weight":1.0,"startedAtMs":1500},)" +
+            R"({"instanceId":"s2","lifecycle":"removed"},)" + entry + R"("cell":2,"lifecycle":"up"},)" +
+            entry + R"("cell":1,"lifecycle":"odd"},{"instanceId":"s3","hostPort":"127.0.0.1",)" +
+            R"("zone":"a","machineType":"m","cell":1,"lifecycle":"up"},5]})",
+        2);
+    REQUIRE(list);
+    CHECK(list->generation == 43);
+    CHECK_FALSE(list->whole);
+    REQUIRE(list->nodes.size() == 2);
+    CHECK(list->nodes[0].availability == Availability::draining);
+    CHECK(list->nodes[0].started_at == 1'500'000'000);
+    CHECK(list->nodes[1].availability == Availability::gone);
+    CHECK(list->left_out == 4);
+    for (const char* body :
+         {"", "[]", R"({"generation":1})", R"({"generation":-1,"reset":true,"instances":[]})",
+          R"({"generation":1,"reset":true,"instances":[{"inst)"})
+        CHECK_FALSE(read_targets(body, 2));
+    CHECK_FALSE(read_host_port("127.0.0.1:0"));
+    CHECK_FALSE(read_host_port(":80"));
+    CHECK_FALSE(read_host_port("127.0.0.1:70000"));
+}
+
+TEST_CASE("frames are written as the page shows and taken from pieces of any size") {
+    std::string line;
+    write_part_line(line, {"9b1f", 3, 240, "5c0f", 8});
+    CHECK(line == "9b1f.3 3 d=240,k=5c0f 8\n");
+    line.clear();
+    write_part_line(line, {"9b1f", 3, 240, "", 0});
+    CHECK(line == "9b1f.3 3 d=240 0\n");
+    std::string bytes;
+    for (const char* rest :
+         {"q.1 OK 17 -\nv", "q.2 REJECTED 0 inflight=7\n", "q.3 ERROR 0 -\n", "a.b.4 ODD 0 -\n"}) {
+        start_frame(bytes, 'Y', std::string_view(rest).size());
+        bytes += rest;
+    }
+    CHECK(bytes.substr(0, 5) == std::string("\x0e\0\0\0Y", 5));
+    const auto piece = GENERATE(range<std::size_t>(1, 7), std::size_t{200});
+    std::string in;
+    std::vector<Outcome> ends;
+    for (std::size_t at = 0; at < bytes.size(); at += piece) {
+        in += bytes.substr(at, piece);
+        std::string_view rest = in;
+        Frame frame;
+        while (take_frame(rest, frame) == Framing::frame) {
+            const auto answer = read_node_answer(frame.rest);
+            REQUIRE(answer);
+            CHECK(answer->shard == ends.size() + 1);
+            CHECK(answer->value == (ends.empty() ? "v" : ""));
+            ends.push_back(answer->outcome);
+        }
+        in.erase(0, in.size() - rest.size());
+    }
+    CHECK(ends == std::vector{Outcome::ok, Outcome::full, Outcome::error, Outcome::error});
+}
+
+TEST_CASE("frames that lie about their length and lines that can't be read are found") {
+    Frame frame;
+    std::string_view in("\0\0\0\0Y", 5);
+    CHECK(take_frame(in, frame) == Framing::lost);
+    in = "\xff\xff\xff\x7fY";
+    CHECK(take_frame(in, frame) == Framing::lost);
+    for (const char* rest : {"", "\n", "q.1 OK 1 -", "q OK 1 -\n", ".1 OK 1 -\n", "q. OK 1 -\n",
+                             "q.x OK 1 -\n", "q.-1 OK 1 -\n", "q.99999999999 OK 1 -\n", "q.1\n", "q.1 \n"}) {
+        INFO(rest);
+        CHECK_FALSE(read_node_answer(rest));
+    }
+}
