--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Thin over CMake and CTest; .ci/run goes by the same targets.
+BUILD ?= build
+FLAGS ?=
+
+.PHONY: build test lint run clean
+
+build:
+	cmake -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=Release $(FLAGS)
+	cmake --build $(BUILD) -j4
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure
+
+# The format of every source file, and the module's limits: 680 lines that are not blank, of 110 characters.
+lint:
+	clang-format --dry-run --Werror $$(find src tests examples -name '*.cpp' -o -name '*.hpp')
+	awk 'length > 110 { print FILENAME ": " FNR ": over 110 characters"; bad = 1 } \
+	     NF > 0 { ++lines } END { if (lines > 680) print FILENAME ": " lines " lines"; exit bad || lines > 680 }' \
+	    src/router/query_router.cpp
+
+# A router with four toy data nodes on loopback; see README.md.
+run: build
+	examples/start
+
+clean:
+	rm -rf $(BUILD)
--- a/src/service/bridge.cpp
+++ b/src/service/bridge.cpp
@@ -33,7 +33,10 @@
       shards_(static_cast<std::uint32_t>(terms.shards)), verticals_(link_terms.verticals),
       most_held_(static_cast<std::size_t>(link_terms.most_held)),
       parts_a_call_(static_cast<std::size_t>(link_terms.parts_a_call)), router_(terms, seed) {
-    for (const VerticalTerms& v : terms.verticals) keyed_.push_back(v.effect == Effect::deduplicated);
+    for (const VerticalTerms& v : terms.verticals) {
+        keyed_.push_back(v.effect == Effect::deduplicated);
+        repeat_window_.push_back(keyed_.back() ? v.repeat_window - v.repeat_window / 50 : 0);
+    }
 }
 
 void Bridge::refuse(Handle client, int status, std::string_view words) {
@@ -108,7 +111,10 @@
 }
 
 void Bridge::take_list(const TargetList& list, ListKind kind) {
+    const std::size_t met = nodes_.met();
     NodeList::News news = nodes_.take(list);
+    for (auto n = static_cast<std::uint32_t>(met); n < nodes_.met(); ++n)
+        log_line("node %u is %s at %s", n, nodes_.name(n).c_str(), nodes_.address(n).c_str());
     arrived_.push_back(ListNews{kind, std::move(news.entries)});
     for (const std::uint32_t n : news.changed) {
         const bool leaving = std::find(news.leaving.begin(), news.leaving.end(), n) != news.leaving.end();
@@ -207,6 +213,7 @@
     call.attempt = static_cast<std::uint8_t>(part.calls.size());
     call.sent_at = last_round_;
     call.until = wait > 0 ? std::min(q.give_up_at, last_round_ + wait) : q.give_up_at;
+    if (part.calls.empty()) part.first_sent_at = last_round_;
     part.calls.push_back(h);
     ++q.out;
     outbox_.push_back(h);
@@ -226,7 +233,7 @@
             if (call == nullptr || call->node != node || call->due != Deadlines::none) continue;
             const Query& q = *queries_.find(call->query);
             const Part& part = q.parts[call->part];
-            pieces.push_back({outbox_[j], q.text, part.shard, call->until});
+            pieces.push_back({outbox_[j], q.text, part.shard, call->until, send_by(q, part, *call)});
             // A second leaf call on the same connection could not be told from the first.
             avoid.insert(avoid.end(), part.links.begin(), part.links.end());
             call->due = time_.due.add(call->until, *this, outbox_[j], patience);
@@ -248,6 +255,13 @@
     outbox_.clear();
 }
 
+// A further leaf call of a deduplicated part must not wait for a connection until its repeat would run: the
+// window counts from the first one's send, with a little left for the way.
+Nanos Bridge::send_by(const Query& q, const Part& part, const LeafCall& call) const {
+    if (!keyed_[q.vertical] || call.attempt == 0) return Deadlines::never;
+    return part.first_sent_at + repeat_window_[q.vertical];
+}
+
 void Bridge::cancel(std::uint32_t id, std::uint8_t attempt) {
     const auto at = part_by_id_.find(id);
     if (at == part_by_id_.end()) return;
--- a/src/service/bridge.hpp
+++ b/src/service/bridge.hpp
@@ -58,6 +58,7 @@
         double weight = 0;
         Nanos hint = 0;
         bool in = false;
+        Nanos first_sent_at = 0;
         std::string value;
         std::vector<Handle> calls;  // by attempt
         std::vector<Handle> links;  // they were sent on
@@ -119,6 +120,7 @@
     void call_ended(Handle h, Outcome outcome, std::string_view value = {});
     void release(Handle h);
     void send_calls();
+    Nanos send_by(const Query& q, const Part& part, const LeafCall& call) const;
 
     Timekeeper& time_;
     AnswerGiver* front_ = nullptr;
@@ -127,6 +129,7 @@
     const std::uint32_t places_, shards_;
     std::vector<std::string> verticals_;
     std::vector<bool> keyed_;
+    std::vector<Nanos> repeat_window_;
     const std::size_t most_held_, parts_a_call_;
     bool second_copies_ = false, stopping_ = false;
 
--- a/src/service/log.cpp
+++ b/src/service/log.cpp
@@ -31,6 +31,8 @@
     va_start(arguments, format);
     std::vsnprintf(line, sizeof line, format, arguments);
     va_end(arguments);
+    for (char* c = line; *c != 0; ++c)  // what a peer sent may be in it
+        if (static_cast<unsigned char>(*c) < 0x20 || *c == 0x7f) *c = '?';
     std::fprintf(stderr, "%s\n", line);
 }
 
--- a/src/service/main.cpp
+++ b/src/service/main.cpp
@@ -1,11 +1,13 @@
 // One query router on sockets, as the platform starts it.
 
+#include <csignal>
 #include <cstdio>
 #include <exception>
 
 #include "service/service.hpp"
 
 int main() {
+    std::signal(SIGPIPE, SIG_IGN);  // a log that nobody reads any more ends nothing
     try {
         boost::asio::io_context io(1);
         tealcart::Service service(io, tealcart::read_launch_file());
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -9,13 +9,13 @@
 namespace {
 
 constexpr Nanos ms = 1'000'000;
-// Of the descriptors, so many are for what is no connection, and a quarter of the rest for data nodes.
-constexpr std::size_t other_descriptors = 24;
+// Of the descriptors, so many are for what is no connection, and a third of the rest for data nodes.
+constexpr std::size_t other_descriptors = 16;
 // So long after SIGTERM new connections may still come, as the platform's page has it (0.4 s, and its slack).
 constexpr Nanos arrivals_after_stop = 450 * ms;
 constexpr int handlers_a_turn = 4096;
 
-std::size_t links_of(const Launch& launch) { return (launch.sockets - other_descriptors) / 4; }
+std::size_t links_of(const Launch& launch) { return (launch.sockets - other_descriptors) / 3; }
 std::size_t clients_of(const Launch& launch) { return launch.sockets - other_descriptors - links_of(launch); }
 
 }  // namespace
@@ -77,7 +77,9 @@
 // Once no new connections come any more and none is open.
 bool Service::may_exit() {
     const Nanos now = time_.now();
-    if (stop_began_ == 0 || now - stop_began_ < arrivals_after_stop || front_.open() > 0) return false;
+    if (stop_began_ == 0 || now - stop_began_ < arrivals_after_stop) return false;
+    front_.close_idle(now - arrivals_after_stop);
+    if (front_.open() > 0) return false;
     if (!front_.end_listening()) return false;
     log_line("stopped after %lld ms", static_cast<long long>((now - stop_began_) / ms));
     watch_.stop();
--- a/src/tables/node_list.hpp
+++ b/src/tables/node_list.hpp
@@ -23,6 +23,7 @@
     const std::string& address(std::uint32_t node) const { return nodes_[node].address; }
     const std::string& name(std::uint32_t node) const { return nodes_[node].id; }
     std::size_t ready() const;
+    std::size_t met() const { return nodes_.size(); }
 
   private:
     struct Node {
--- a/src/wire/client_front.cpp
+++ b/src/wire/client_front.cpp
@@ -12,8 +12,9 @@
 using boost::system::error_code;
 
 constexpr Nanos ms = 1'000'000;
-constexpr Nanos linger = 1000 * ms;       // for the far side to take an answer before its connection ends
-constexpr Nanos accept_pause = 100 * ms;  // after a failed accept
+constexpr Nanos linger = 1000 * ms;         // for the far side to take an answer before its connection ends
+constexpr Nanos stalled_after = 1000 * ms;  // without a whole request, where others wait
+constexpr Nanos accept_pause = 100 * ms;    // after a failed accept
 constexpr std::size_t most_unread = longest_head + longest_body;  // of further requests, while one is out
 constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -34,10 +35,13 @@
     accept();
 }
 
-// Where no more connections may be held, clients wait in the backlog until one is given back.
+// Where no more connections may be held and none can be ended, clients wait in the backlog for one that is
+// given back.
 void ClientFront::accept() {
-    if (accepting_ || !acceptor_.is_open() || accept_again_ != Deadlines::none) return;
-    if (clients_.used() >= most_ && !close_longest_idle()) return;
+    if (accepting_ || !acceptor_.is_open()) return;
+    time_.due.drop(accept_again_);
+    if (clients_.used() >= most_ && !make_room())
+        return time_.due.move(accept_again_, time_.now() + accept_pause, *this, Handle{});
     if (accepting_) return;  // closing one came back here
     accepting_ = true;
     acceptor_.async_accept([this](const error_code& ec, tcp::socket socket) {
@@ -45,7 +49,7 @@
         if (!acceptor_.is_open()) return;
         if (ec && ec != boost::asio::error::connection_aborted) {
             log_line("a connection can't be accepted: %s", ec.message().c_str());
-            close_longest_idle();
+            make_room();
             time_.due.move(accept_again_, time_.now() + accept_pause, *this, Handle{});
             return;
         }
@@ -63,15 +67,31 @@
     read(h);
 }
 
-bool ClientFront::close_longest_idle() {
-    Handle longest;
-    Nanos since = Deadlines::never;
+// Nothing of a next request has come in.
+bool ClientFront::idle(const Client& c) const {
+    error_code ec;
+    return c.state == State::reading && !c.reader.begun() && c.socket.available(ec) == 0;
+}
+
+// Makes room for a client that waits: ends the connection that would be missed least, of those that only wait
+// for their far side to close, then of idle ones, then of those that have not sent a whole request for a
+// while; the longest first.
+bool ClientFront::make_room() {
+    Handle least;
+    auto rank = std::pair(3, Deadlines::never);
     clients_.each([&](Handle h, const Client& c) {
-        if (c.state == State::reading && !c.reader.begun() && c.idle_since < since)
-            longest = h, since = c.idle_since;
+        const Nanos since = c.reader.begun() ? c.began : c.idle_since;
+        auto own = std::pair(3, Deadlines::never);
+        if (c.state == State::lingering)
+            own = {0, since};
+        else if (idle(c) && c.served)
+            own = {1, since};
+        else if (c.state == State::reading && time_.now() - since > stalled_after)
+            own = {2, since};
+        if (own < rank) least = h, rank = own;
     });
-    if (clients_.find(longest) == nullptr) return false;
-    close(longest);
+    if (clients_.find(least) == nullptr) return false;
+    close(least);
     return true;
 }
 
@@ -178,6 +198,7 @@
         return read(h);
     }
     c.state = State::reading;
+    c.served = true;
     c.reader.next();
     c.idle_since = time_.now();
     if (!c.in.empty()) advance(h);
@@ -202,10 +223,12 @@
 
 void ClientFront::begin_stop() {
     stopping_ = true;
-    // One whose next request has come in is served first.
-    clients_.each([this](Handle h, Client& c) {
-        error_code ec;
-        if (c.state == State::reading && !c.reader.begun() && c.socket.available(ec) == 0) close(h);
+    close_idle(time_.now());
+}
+
+void ClientFront::close_idle(Nanos since) {
+    clients_.each([this, since](Handle h, Client& c) {
+        if (c.idle_since <= since && idle(c)) close(h);
     });
 }
 
--- a/src/wire/client_front.hpp
+++ b/src/wire/client_front.hpp
@@ -49,6 +49,8 @@
 
     // From now on answers close their connection, and idle ones are closed.
     void begin_stop();
+    // Closes connections that have been idle since then, but for those whose next request has come in.
+    void close_idle(Nanos since);
     // Closes the listening socket, if no client waits in its backlog; false if one did.
     bool end_listening();
     void close_all();
@@ -69,6 +71,7 @@
         std::string in;
         std::array<char, 4096> buffer;
         std::string head, body;  // being written
+        bool served = false;     // at least one request
         bool continues = false;  // word to go on is being written
         Nanos idle_since = 0, began = 0;
         Deadlines::Ticket due = Deadlines::none;
@@ -82,7 +85,8 @@
     void flushed(Handle h);
     void close(Handle h);
     void settle(Handle h);
-    bool close_longest_idle();
+    bool idle(const Client& client) const;
+    bool make_room();
 
     boost::asio::io_context& io_;
     Timekeeper& time_;
--- a/src/wire/discovery_watch.cpp
+++ b/src/wire/discovery_watch.cpp
@@ -15,7 +15,7 @@
 constexpr Nanos late = 1000 * ms;        // and be as late as this before its connection is given up
 constexpr Nanos again_after = 100 * ms;  // a broken call is made anew
 constexpr std::size_t longest_list = 8 * 1024 * 1024;
-enum Due : std::uint64_t { silent, again };
+enum Due : std::uint64_t { silent, again, next };
 
 }  // namespace
 
@@ -55,6 +55,7 @@
 void DiscoveryWatch::ask() {
     std::string target = "/api/targets";
     if (!whole_) target += "?index=" + std::to_string(generation_) + "&wait=" + std::to_string(wait / ms);
+    asked_at_ = time_.now();
     connection_->out = write_get(address_.host + ":" + std::to_string(address_.port), target);
     time_.due.move(due_, time_.now() + (whole_ ? 0 : wait) + late, *this, Handle{}, silent);
     boost::asio::async_write(connection_->socket, boost::asio::buffer(connection_->out),
@@ -96,8 +97,11 @@
     const bool kept = reader.keep_alive();
     taker_.on_list(*list);
     reader.next();
-    if (kept) return ask();
-    connect();
+    if (!kept) return connect();
+    // One that answers at once and with nothing, time after time, is not asked without a pause.
+    if (list->nodes.empty() && time_.now() - asked_at_ < wait / 2)
+        return time_.due.move(due_, time_.now() + again_after, *this, Handle{}, next);
+    ask();
 }
 
 void DiscoveryWatch::give_up(const char* why) {
@@ -110,6 +114,7 @@
 void DiscoveryWatch::on_due(Handle, std::uint64_t what) {
     due_ = Deadlines::none;
     if (what == again) return connect();
+    if (what == next) return ask();
     give_up("silent for longer than a call may wait");
 }
 
--- a/src/wire/discovery_watch.hpp
+++ b/src/wire/discovery_watch.hpp
@@ -43,6 +43,7 @@
     const HostPort address_;
     const std::uint32_t places_;
     std::uint64_t generation_ = 0;
+    Nanos asked_at_ = 0;
     bool whole_ = false;          // the next call asks for the whole list
     bool silent_before_ = false;  // told in the log
     // Each connection has a life of its own: what completes for an earlier one is void.
--- a/src/wire/node_links.cpp
+++ b/src/wire/node_links.cpp
@@ -13,6 +13,7 @@
 using boost::system::error_code;
 
 constexpr std::size_t frames_a_write = 64;
+constexpr std::size_t most_queued = 4096;
 constexpr Nanos ms = 1'000'000;
 
 }  // namespace
@@ -151,7 +152,9 @@
 
 void NodeLinks::write(Handle h) {
     Link& link = *links_.find(h);
-    if (!link.up || link.writing || link.closed || link.queue.empty()) return;
+    if (!link.up || link.writing || link.closed) return;
+    drop_overdue(link);
+    if (link.closed || link.queue.empty()) return;
     std::vector<boost::asio::const_buffer> buffers;
     std::size_t size = 0;
     const auto put = [&](std::string_view bytes) {
@@ -197,6 +200,20 @@
     });
 }
 
+// What has waited for too long to be written is lost as never sent.
+void NodeLinks::drop_overdue(Link& link) {
+    std::vector<Handle> lost;
+    for (Outgoing& frame : link.queue)
+        std::erase_if(frame.pieces, [&](const LeafPiece& piece) {
+            if (time_.now() <= piece.send_by) return false;
+            lost.push_back(piece.call);
+            return true;
+        });
+    std::erase_if(link.queue,
+                  [](const Outgoing& frame) { return frame.number != 0 && frame.pieces.empty(); });
+    for (const Handle call : lost) owner_.on_call_lost(call, Outcome::moot);
+}
+
 bool NodeLinks::withdraw(Handle h, Handle call) {
     Link* link = links_.find(h);
     if (link == nullptr || link->closed) return false;
@@ -212,6 +229,7 @@
 void NodeLinks::give_up(Handle h, const QueryText& query, std::uint32_t shard) {
     Link* link = links_.find(h);
     if (link == nullptr || link->closed) return;
+    if (link->queue.size() >= most_queued) return close(h, Outcome::reset);  // it has long taken nothing
     std::string id;
     write_part_id(id, query.id, shard);
     Outgoing frame;
--- a/src/wire/node_links.hpp
+++ b/src/wire/node_links.hpp
@@ -29,7 +29,8 @@
     Handle call;
     std::shared_ptr<const QueryText> query;
     std::uint32_t shard = 0;
-    Nanos until = 0;  // when we stop waiting for it
+    Nanos until = 0;                   // when we stop waiting for it
+    Nanos send_by = Deadlines::never;  // it is not to be written later than this
 };
 
 // Whoever sends leaf calls is told what becomes of them.
@@ -110,6 +111,7 @@
     void read(Handle h);
     void write(Handle h);
     bool take_frames(Handle h);
+    void drop_overdue(Link& link);
     void idle_if_empty(Handle h);
     void close(Handle h, Outcome written, std::size_t bytes_written = SIZE_MAX);
     void settle(Handle h);
--- a/tests/bridge_test.cpp
+++ b/tests/bridge_test.cpp
@@ -247,6 +247,21 @@
     CHECK(rig.model.answers[0].status == 504);
 }
 
+TEST_CASE(
+    "a further leaf call of a deduplicated part is to be written while repeats are dropped, or not at all") {
+    Rig rig;
+    rig.ask(true, 1);
+    rig.step();
+    CHECK(rig.model.out.at(0).piece.send_by == Deadlines::never);
+    const Nanos first = rig.model.now;
+    rig.write(0);
+    rig.node_says(0, Outcome::error);
+    for (int i = 0; i < 100 && rig.model.out.empty(); ++i) rig.step();
+    REQUIRE(rig.model.out.size() == 1);
+    CHECK(rig.model.out[0].piece.send_by > rig.model.now);
+    CHECK(rig.model.out[0].piece.send_by < first + 3000 * ms);  // the settings' repeat window
+}
+
 TEST_CASE("at the door: what is malformed is refused as such, and nothing is sent for it") {
     Rig rig;
     const auto says = [&](Request request) {
