--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 .PHONY: build test lint run clean
 
 build:
-	cmake -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=Release $(FLAGS)
+	cmake -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=Release -DTEALCART_TESTS=ON -DTEALCART_EXAMPLES=ON $(FLAGS)
 	cmake --build $(BUILD) -j4
 
 test: build
