Count a client's time from the start of a stall; Allow with 405; standing of the service

The loop now wakes ten times a second and knows a stall by waking over 50 ms late. First try failed the service's own tests: the first timer lay in 1970 and passed for a stall (Service::set_timer); it is held to now.

--- a/src/service/bridge.cpp
+++ b/src/service/bridge.cpp
@@ -46,7 +46,7 @@
 void Bridge::on_request(Handle client, Request& request, Nanos began) {
     const std::string_view path = request.path;
     if (path == "/-/ready" || path == "/-/healthy") {
-        if (request.method != "GET") return refuse(client, 405, "GET only");
+        if (request.method != "GET") return front_->answer(client, {405, write_error("GET only"), 0, "GET"});
         if (stopping_ && path == "/-/ready") return refuse(client, 503, "stopping");
         return front_->answer(client, {200, {}, 0});
     }
@@ -55,7 +55,7 @@
         return name.size() == v.size() + 1 && name[0] == '/' && name.substr(1) == v;
     });
     if (found == verticals_.end()) return refuse(client, 404, "no such vertical");
-    if (request.method != "POST") return refuse(client, 405, "POST only");
+    if (request.method != "POST") return front_->answer(client, {405, write_error("POST only"), 0, "POST"});
     const auto vertical = static_cast<std::uint16_t>(found - verticals_.begin());
     if (!speakable(request.id)) return refuse(client, 400, "X-Request-Id is missing or malformed");
     const auto deadline = read_deadline(request.deadline);
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -14,6 +14,9 @@
 // So long after SIGTERM new connections may still come, as the platform's page has it (0.4 s, and its slack).
 constexpr Nanos arrivals_after_stop = 450 * ms;
 constexpr int handlers_a_turn = 4096;
+// The loop wakes at least so often, to know of a stall; one shorter than the rules' slack on sockets is none.
+constexpr Nanos heartbeat = 100 * ms;
+constexpr Nanos stalled_after = 50 * ms;
 
 std::size_t links_of(const Launch& launch) { return (launch.sockets - other_descriptors) / 3; }
 std::size_t clients_of(const Launch& launch) { return launch.sockets - other_descriptors - links_of(launch); }
@@ -45,7 +48,11 @@
 
 bool Service::turn() {
     set_timer();
+    const Nanos due = timer_at_;
     io_.run_one();
+    // Woken so late, the process stood still: guards against taking a client's time to begin when its request
+    // is read.
+    time_.unseen_since = time_.now() - due > stalled_after ? due : Deadlines::never;
     // After a stall much is ready and due at once: what came in is taken in before time-outs are judged.
     for (int i = 0; i < handlers_a_turn && io_.poll_one() > 0; ++i) {
     }
@@ -57,7 +64,8 @@
 void Service::set_timer() {
     Nanos at = std::min(time_.due.next(), bridge_.next_round());
     if (stop_began_ > 0) at = std::min(at, std::max(time_.now() + ms, stop_began_ + arrivals_after_stop));
-    if (at == timer_at_ || at == Deadlines::never) return;
+    at = std::clamp(at, time_.now(), time_.now() + heartbeat);
+    if (timer_at_ != Deadlines::never && timer_at_ <= at) return;
     timer_at_ = at;
     timer_.expires_at(time_.steady(at));
     timer_.async_wait([this](const boost::system::error_code& ec) {
--- a/src/tables/timekeeper.hpp
+++ b/src/tables/timekeeper.hpp
@@ -2,6 +2,7 @@
 // only goes forward: it is read once from the system's clock and then follows the steady one.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 
 #include "tables/deadlines.hpp"
@@ -27,7 +28,11 @@
         return began_ + std::chrono::nanoseconds(at - base_);
     }
 
+    // The earliest at which what is read now may have come in: after a stall, when the stall began.
+    Nanos earliest() const { return std::min(now(), unseen_since); }
+
     Deadlines due;
+    Nanos unseen_since = Deadlines::never;  // since when nothing was looked at, in a turn after a stall
 
   private:
     const Nanos* given_ = nullptr;
--- a/src/wire/client_front.cpp
+++ b/src/wire/client_front.cpp
@@ -63,7 +63,7 @@
     socket.set_option(tcp::no_delay(true), ec);
     last_accepted_ = time_.now();
     const Handle h = clients_.take(std::move(socket));
-    clients_.find(h)->idle_since = last_accepted_;
+    clients_.find(h)->idle_since = time_.earliest();  // it may have waited in the backlog
     read(h);
 }
 
@@ -124,8 +124,8 @@
     const bool begun = c.reader.begun();
     const Reading reading = c.reader.feed(c.in);
     if (!begun && c.reader.begun()) {
-        c.began = time_.now();
-        time_.due.move(c.due, c.began + stall_, *this, h);
+        c.began = std::max(c.idle_since, time_.earliest());  // its client may have waited through a stall
+        time_.due.move(c.due, time_.now() + stall_, *this, h);
     }
     if (reading == Reading::more) {
         if (c.reader.owes_continue() && !c.writes) {
@@ -151,7 +151,8 @@
     c->state = State::answering;
     c->last |= stopping_;
     c->body = std::move(answer.body);
-    c->head = write_answer_head({answer.status, c->body.size(), answer.retry_after / ms, c->last});
+    c->head =
+        write_answer_head({answer.status, c->body.size(), answer.retry_after / ms, c->last, answer.allow});
     // A client that does not take its answer is let go as one that stalls in its request.
     time_.due.move(c->due, time_.now() + stall_, *this, h);
     write(h);
--- a/src/wire/client_front.hpp
+++ b/src/wire/client_front.hpp
@@ -16,7 +16,8 @@
 struct Answer {
     int status = 200;
     std::string body;
-    Nanos retry_after = 0;  // 0 for none
+    Nanos retry_after = 0;        // 0 for none
+    std::string_view allow = {};  // the method that would be taken, with 405
 };
 
 // What stands behind the front. Each request is answered exactly once by ClientFront::answer, at once or
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -145,6 +145,7 @@
                           static_cast<int>(head.retry_after_ms % 1000));
         out.append(text, static_cast<std::size_t>(n));
     }
+    if (!head.allow.empty()) out.append("Allow: ").append(head.allow).append("\r\n");
     if (head.close) out += "Connection: close\r\n";
     return out += "\r\n";
 }
--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -64,6 +64,7 @@
     std::size_t length = 0;
     std::int64_t retry_after_ms = 0;  // 0 for none
     bool close = false;
+    std::string_view allow = {};  // the method that would be taken, with 405
 };
 
 std::string write_answer_head(const AnswerHead& head);
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -395,8 +395,9 @@
         front.listen("127.0.0.1", 0);
     }
 
-    void on_request(Handle client, Request& request, Nanos) override {
+    void on_request(Handle client, Request& request, Nanos began) override {
         taken.push_back(request.path);
+        last_began = began;
         if (request.path == "/held") return;
         front.answer(client, {200, "{}", 0});
     }
@@ -416,6 +417,7 @@
     Timekeeper time{now};
     ClientFront front;
     std::vector<std::string> taken;
+    Nanos last_began = 0;
     int gone = 0;
 };
 
@@ -439,6 +441,26 @@
     CHECK(rig.taken.empty());
 }
 
+TEST_CASE("after a stall a client's time counts from its beginning, but not from before its last answer") {
+    FrontRig rig(3);
+    const auto kept = rig.client(get);
+    rig.until([&] { return !kept->got.empty(); });
+    CHECK(rig.last_began == rig.now);
+    const Nanos stall = rig.now + 200 * test::ms;
+    rig.now += 900 * test::ms;
+    rig.time.unseen_since = stall;
+    kept->got.clear();
+    kept->send(get);
+    rig.until([&] { return !kept->got.empty(); });
+    CHECK(rig.last_began == stall);
+    kept->send(get);
+    rig.until([&] { return rig.taken.size() == 3; });
+    CHECK(rig.last_began == rig.now);
+    const auto fresh = rig.client(get);  // which waited in the backlog
+    rig.until([&] { return rig.taken.size() == 4; });
+    CHECK(rig.last_began == stall);
+}
+
 TEST_CASE("clients that stall can't keep others out, and one with a query in hand is never ended for room") {
     FrontRig rig(3);
     const auto held = rig.client("GET /held HTTP/1.1\r\n\r\n");
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -91,6 +91,7 @@
     const std::string head = write_answer_head({503, 2, 1250, true});
     CHECK(head.find("HTTP/1.1 503 Service Unavailable\r\n") == 0);
     CHECK(head.find("Content-Length: 2\r\n") != std::string::npos);
+    CHECK(write_answer_head({405, 0, 0, false, "POST"}).find("\r\nAllow: POST\r\n") != std::string::npos);
     CHECK(head.find("Retry-After: 1.250\r\n") != std::string::npos);
     CHECK(head.find("Connection: close\r\n") != std::string::npos);
     CHECK(write_answer_head({200, 0, 0, false}).find("Retry-After") == std::string::npos);
