Know a stall in the first handler after it, not only in those that follow

Seen in a probe by hand with the example (SIGSTOP to the router, a query of 2 s, SIGCONT after 2.5 s): the answer was 200 after 2.518 s, past the client's time. Cause: Service::turn judged the stall after io_.run_one(), whose one handler took the connection and set its idle_since from the time of reading. Ruled out: the timer (it woke as asked) and ClientFront::advance. Now Timekeeper::earliest compares with the time by which the loop asked to be woken, whoever asks first.

--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -14,9 +14,8 @@
 // So long after SIGTERM new connections may still come, as the platform's page has it (0.4 s, and its slack).
 constexpr Nanos arrivals_after_stop = 450 * ms;
 constexpr int handlers_a_turn = 4096;
-// The loop wakes at least so often, to know of a stall; one shorter than the rules' slack on sockets is none.
+// The loop wakes at least so often, to know of a stall.
 constexpr Nanos heartbeat = 100 * ms;
-constexpr Nanos stalled_after = 50 * ms;
 
 std::size_t links_of(const Launch& launch) { return (launch.sockets - other_descriptors) / 3; }
 std::size_t clients_of(const Launch& launch) { return launch.sockets - other_descriptors - links_of(launch); }
@@ -48,11 +47,10 @@
 
 bool Service::turn() {
     set_timer();
-    const Nanos due = timer_at_;
+    // Guards against taking a client's time to begin when its request is read, where it has waited for
+    // longer.
+    time_.awake_by = timer_at_;
     io_.run_one();
-    // Woken so late, the process stood still: guards against taking a client's time to begin when its request
-    // is read.
-    time_.unseen_since = time_.now() - due > stalled_after ? due : Deadlines::never;
     // After a stall much is ready and due at once: what came in is taken in before time-outs are judged.
     for (int i = 0; i < handlers_a_turn && io_.poll_one() > 0; ++i) {
     }
--- a/src/tables/timekeeper.hpp
+++ b/src/tables/timekeeper.hpp
@@ -2,7 +2,6 @@
 // only goes forward: it is read once from the system's clock and then follows the steady one.
 #pragma once
 
-#include <algorithm>
 #include <chrono>
 
 #include "tables/deadlines.hpp"
@@ -28,13 +27,20 @@
         return began_ + std::chrono::nanoseconds(at - base_);
     }
 
-    // The earliest at which what is read now may have come in: after a stall, when the stall began.
-    Nanos earliest() const { return std::min(now(), unseen_since); }
+    // The earliest at which what is read now may have come in: after a stall, when the stall began. Looked at
+    // by the reader itself, since the first handler after a stall may be the one that reads.
+    Nanos earliest() const {
+        const Nanos n = now();
+        return n - stalled_after > awake_by ? awake_by : n;
+    }
 
     Deadlines due;
-    Nanos unseen_since = Deadlines::never;  // since when nothing was looked at, in a turn after a stall
+    Nanos awake_by = Deadlines::never;  // when the loop has asked to be woken at the latest
 
   private:
+    // One shorter than the rules' slack on sockets is no stall.
+    static constexpr Nanos stalled_after = 50'000'000;
+
     const Nanos* given_ = nullptr;
     Nanos base_ = 0;
     std::chrono::steady_clock::time_point began_;
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -448,7 +448,7 @@
     CHECK(rig.last_began == rig.now);
     const Nanos stall = rig.now + 200 * test::ms;
     rig.now += 900 * test::ms;
-    rig.time.unseen_since = stall;
+    rig.time.awake_by = stall;
     kept->got.clear();
     kept->send(get);
     rig.until([&] { return !kept->got.empty(); });
