--- a/src/service/bridge.cpp
+++ b/src/service/bridge.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 #include "service/log.hpp"
 
@@ -29,9 +30,8 @@
 }  // namespace
 
 Bridge::Bridge(Timekeeper& time, const Terms& terms, const LinkTerms& link_terms, std::uint64_t seed)
-    : time_(time), step_(terms.step), places_(static_cast<std::uint32_t>(terms.places)),
-      shards_(static_cast<std::uint32_t>(terms.shards)), verticals_(link_terms.verticals),
-      most_held_(static_cast<std::size_t>(link_terms.most_held)),
+    : time_(time), step_(terms.step), shards_(static_cast<std::uint32_t>(terms.shards)),
+      verticals_(link_terms.verticals), most_held_(static_cast<std::size_t>(link_terms.most_held)),
       parts_a_call_(static_cast<std::size_t>(link_terms.parts_a_call)), router_(terms, seed) {
     for (const VerticalTerms& v : terms.verticals) {
         keyed_.push_back(v.effect == Effect::deduplicated);
--- a/src/service/bridge.hpp
+++ b/src/service/bridge.hpp
@@ -3,9 +3,7 @@
 // call's in `call_ended`. Holds no decisions.
 #pragma once
 
-#include <deque>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -126,12 +124,12 @@
     AnswerGiver* front_ = nullptr;
     CallSender* links_ = nullptr;
     const Nanos step_;
-    const std::uint32_t places_, shards_;
+    const std::uint32_t shards_;
     std::vector<std::string> verticals_;
     std::vector<bool> keyed_;
     std::vector<Nanos> repeat_window_;
     const std::size_t most_held_, parts_a_call_;
-    bool second_copies_ = false, stopping_ = false;
+    bool stopping_ = false;
 
     QueryRouter router_;
     NodeList nodes_;
--- a/src/wire/client_front.cpp
+++ b/src/wire/client_front.cpp
@@ -1,7 +1,6 @@
 #include "wire/client_front.hpp"
 
 #include <boost/asio/write.hpp>
-#include <vector>
 
 #include "service/log.hpp"
 
@@ -31,7 +30,6 @@
     acceptor_.bind(at);
     acceptor_.listen(boost::asio::socket_base::max_listen_connections);
     acceptor_.non_blocking(true);
-    last_accepted_ = time_.now();
     accept();
 }
 
@@ -61,7 +59,6 @@
 void ClientFront::take(tcp::socket socket) {
     error_code ec;
     socket.set_option(tcp::no_delay(true), ec);
-    last_accepted_ = time_.now();
     const Handle h = clients_.take(std::move(socket));
     clients_.find(h)->idle_since = time_.earliest();  // it may have waited in the backlog
     read(h);
--- a/src/wire/client_front.hpp
+++ b/src/wire/client_front.hpp
@@ -57,7 +57,6 @@
     void close_all();
 
     std::size_t open() const { return clients_.used(); }
-    Nanos last_accepted() const { return last_accepted_; }
     void on_due(Handle client, std::uint64_t what) override;
 
   private:
@@ -97,7 +96,6 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     Slots<Client> clients_;
     bool accepting_ = false, stopping_ = false;
-    Nanos last_accepted_ = 0;
     Deadlines::Ticket accept_again_ = Deadlines::none;
 };
 
--- a/src/wire/node_links.cpp
+++ b/src/wire/node_links.cpp
@@ -97,7 +97,6 @@
     time_.due.drop(link.due);
     if (ec) return close(h, Outcome::connect_failed);
     link.up = true;
-    link.heard_at = time_.now();
     read(h);
     write(h);
     idle_if_empty(h);
@@ -111,7 +110,6 @@
             Link& l = *links_.find(h);
             if (!l.closed && ec) close(h, Outcome::reset);
             if (!l.closed) {
-                l.heard_at = time_.now();
                 l.in.append(l.buffer.data(), n);
                 if (!take_frames(h)) close(h, Outcome::reset);
             }
--- a/src/wire/node_links.hpp
+++ b/src/wire/node_links.hpp
@@ -101,7 +101,6 @@
         std::vector<std::shared_ptr<const QueryText>> texts;
         std::string in;
         std::array<char, 8192> buffer;
-        Nanos heard_at = 0;
         Deadlines::Ticket due = Deadlines::none;  // while it is made: its time-out; while idle: its end
     };
 
