Keep deadlines in the slot table, lose unwritten calls in one place, list changes once

Deadlines had a free list of its own beside Slots, now its tickets are handles and a stale one is told apart. NodeLinks gathered lost pieces in two loops, for a node that leaves and for calls past their time: one now serves both. NodeList named leaving nodes in both its lists and the bridge searched one in the other: the lists no longer overlap.

--- a/src/service/bridge.cpp
+++ b/src/service/bridge.cpp
@@ -116,10 +116,8 @@
     for (auto n = static_cast<std::uint32_t>(met); n < nodes_.met(); ++n)
         log_line("node %u is %s at %s", n, nodes_.name(n).c_str(), nodes_.address(n).c_str());
     arrived_.push_back(ListNews{kind, std::move(news.entries)});
-    for (const std::uint32_t n : news.changed) {
-        const bool leaving = std::find(news.leaving.begin(), news.leaving.end(), n) != news.leaving.end();
-        links_->retire(n, leaving);
-    }
+    for (const std::uint32_t n : news.changed) links_->retire(n, false);
+    for (const std::uint32_t n : news.leaving) links_->retire(n, true);
 }
 
 void Bridge::on_due(Handle who, std::uint64_t what) {
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -12,8 +12,7 @@
 
 class Service {
   public:
-    // Listens from here on. Throws
-    // boost::system::system_error where the address can't be had.
+    // Listens from here on. Throws boost::system::system_error where the address can't be had.
     Service(boost::asio::io_context& io, const Launch& launch);
 
     // Serves until a SIGTERM and all that it asks for are done.
--- a/src/tables/deadlines.hpp
+++ b/src/tables/deadlines.hpp
@@ -19,8 +19,8 @@
 
 class Deadlines {
   public:
-    using Ticket = std::uint32_t;
-    static constexpr Ticket none = UINT32_MAX;
+    using Ticket = Handle;
+    static constexpr Ticket none = {};
     static constexpr Nanos never = INT64_MAX;
 
     Ticket add(Nanos at, DueHandler& handler, Handle who, std::uint64_t what = 0);
@@ -34,7 +34,7 @@
         ticket = add(at, handler, who, what);
     }
 
-    Nanos next() const { return heap_.empty() ? never : entries_[heap_[0]].at; }
+    Nanos next() const { return heap_.empty() ? never : at(0).at; }
     std::size_t size() const { return heap_.size(); }
 
     // Tells the handlers of all that is due by now, the earliest first, in the order of adding where times
@@ -52,19 +52,20 @@
         std::uint32_t place = 0;
     };
 
-    bool before(std::uint32_t a, std::uint32_t b) const {
-        return entries_[a].at != entries_[b].at ? entries_[a].at < entries_[b].at
-                                                : entries_[a].order < entries_[b].order;
+    Entry& at(std::uint32_t place) { return *entries_.find(heap_[place]); }
+    const Entry& at(std::uint32_t place) const { return *entries_.find(heap_[place]); }
+    static bool before(const Entry& a, const Entry& b) {
+        return a.at != b.at ? a.at < b.at : a.order < b.order;
     }
-    void put(std::uint32_t place, std::uint32_t entry) {
+    void put(std::uint32_t place, Ticket entry) {
         heap_[place] = entry;
-        entries_[entry].place = place;
+        at(place).place = place;
     }
     void rise(std::uint32_t place);
     void sink(std::uint32_t place);
 
-    std::vector<Entry> entries_;
-    std::vector<std::uint32_t> heap_, free_;
+    Slots<Entry> entries_;
+    std::vector<Ticket> heap_;
     std::uint64_t order_ = 0;
 };
 
--- a/src/tables/node_list.cpp
+++ b/src/tables/node_list.cpp
@@ -25,8 +25,10 @@
             entry.availability != Availability::ready && node.availability == Availability::ready;
         const bool moves = entry.availability != Availability::gone &&
                            (entry.address != node.address || entry.started_at != node.started_at);
-        if (leaves) news.leaving.push_back(n);
-        if ((leaves || moves) && !fresh) news.changed.push_back(n);
+        if (leaves)
+            news.leaving.push_back(n);
+        else if (moves && !fresh)
+            news.changed.push_back(n);
         node.availability = entry.availability;
         if (entry.availability == Availability::gone) continue;
         node.address = entry.address;
@@ -36,7 +38,6 @@
     for (std::uint32_t n = 0; n < nodes_.size(); ++n)  // what a whole list does not name is gone
         if (!named[n] && nodes_[n].availability != Availability::gone) {
             nodes_[n].availability = Availability::gone;
-            news.changed.push_back(n);
             news.leaving.push_back(n);
         }
     return news;
--- a/src/tables/node_list.hpp
+++ b/src/tables/node_list.hpp
@@ -14,8 +14,8 @@
   public:
     struct News {
         std::vector<NodeEntry> entries;      // for the module
-        std::vector<std::uint32_t> changed;  // nodes whose connections are to take no further calls
-        std::vector<std::uint32_t> leaving;  // of these, nodes that drain or are gone
+        std::vector<std::uint32_t> changed;  // nodes that moved or started anew: old connections lead nowhere
+        std::vector<std::uint32_t> leaving;  // nodes that now drain or are gone
     };
 
     News take(const TargetList& list);
--- a/src/tables/slots.hpp
+++ b/src/tables/slots.hpp
@@ -35,10 +35,11 @@
     }
 
     // Null where the handle's life is over. The address stays the same while it lasts.
-    T* find(Handle h) {
+    const T* find(Handle h) const {
         if (h.slot >= cells_.size() || cells_[h.slot].life != h.life || !cells_[h.slot].value) return nullptr;
         return &*cells_[h.slot].value;
     }
+    T* find(Handle h) { return const_cast<T*>(std::as_const(*this).find(h)); }
 
     void give_back(Handle h) {
         if (find(h) == nullptr) return;
--- a/src/wire/node_links.cpp
+++ b/src/wire/node_links.cpp
@@ -148,10 +148,26 @@
     return sound;
 }
 
+// Of what is not yet written, loses those pieces that `which` names, as never sent.
+template <typename Which>
+void NodeLinks::lose_unwritten(Link& link, Which which) {
+    std::vector<Handle> lost;
+    for (Outgoing& frame : link.queue)
+        std::erase_if(frame.pieces, [&](const LeafPiece& piece) {
+            if (!which(piece)) return false;
+            lost.push_back(piece.call);
+            return true;
+        });
+    std::erase_if(link.queue,
+                  [](const Outgoing& frame) { return frame.number != 0 && frame.pieces.empty(); });
+    for (const Handle call : lost) owner_.on_call_lost(call, Outcome::moot);
+}
+
 void NodeLinks::write(Handle h) {
     Link& link = *links_.find(h);
     if (!link.up || link.writing || link.closed) return;
-    drop_overdue(link);
+    const Nanos now = time_.now();
+    lose_unwritten(link, [now](const LeafPiece& piece) { return now > piece.send_by; });
     if (link.closed || link.queue.empty()) return;
     std::vector<boost::asio::const_buffer> buffers;
     std::size_t size = 0;
@@ -170,7 +186,7 @@
         std::size_t rest = 0;
         for (const LeafPiece& piece : frame.pieces) {
             const QueryText& q = *piece.query;
-            const Nanos left = std::max<Nanos>(piece.until - time_.now(), ms);
+            const Nanos left = std::max<Nanos>(piece.until - now, ms);
             write_part_line(lines.emplace_back(), {q.id, piece.shard, left / ms, q.key, q.text.size()});
             rest += lines.back().size() + q.text.size();
         }
@@ -198,20 +214,6 @@
     });
 }
 
-// What has waited for too long to be written is lost as never sent.
-void NodeLinks::drop_overdue(Link& link) {
-    std::vector<Handle> lost;
-    for (Outgoing& frame : link.queue)
-        std::erase_if(frame.pieces, [&](const LeafPiece& piece) {
-            if (time_.now() <= piece.send_by) return false;
-            lost.push_back(piece.call);
-            return true;
-        });
-    std::erase_if(link.queue,
-                  [](const Outgoing& frame) { return frame.number != 0 && frame.pieces.empty(); });
-    for (const Handle call : lost) owner_.on_call_lost(call, Outcome::moot);
-}
-
 bool NodeLinks::withdraw(Handle h, Handle call) {
     Link* link = links_.find(h);
     if (link == nullptr || link->closed) return false;
@@ -262,13 +264,7 @@
     for (const Handle h : std::vector<Handle>(of_node_[node])) {
         Link& link = *links_.find(h);
         link.retired = true;
-        if (leaving) {
-            std::vector<Handle> lost;
-            for (const Outgoing& frame : link.queue)
-                for (const LeafPiece& piece : frame.pieces) lost.push_back(piece.call);
-            std::erase_if(link.queue, [](const Outgoing& frame) { return frame.number != 0; });
-            for (const Handle call : lost) owner_.on_call_lost(call, Outcome::moot);
-        }
+        if (leaving) lose_unwritten(link, [](const LeafPiece&) { return true; });
         if (!link.closed && link.carried.empty()) link.up ? idle_if_empty(h) : close(h, Outcome::moot);
     }
 }
--- a/src/wire/node_links.hpp
+++ b/src/wire/node_links.hpp
@@ -110,7 +110,8 @@
     void read(Handle h);
     void write(Handle h);
     bool take_frames(Handle h);
-    void drop_overdue(Link& link);
+    template <typename Which>
+    void lose_unwritten(Link& link, Which which);
     void idle_if_empty(Handle h);
     void close(Handle h, Outcome written, std::size_t bytes_written = SIZE_MAX);
     void settle(Handle h);
