Follow a new configuration on SIGHUP: watch discovery at its new address, drop nothing

Now the signals are taken before the configuration is read; at SIGHUP it is read again, what can't change under way is told in one line, what can't be read changes nothing. The watch asks the new address for its whole list (its versions need not compare); the call that is out at the old one may bring news until the new one has spoken.

The test raises SIGHUP on loopback: before, it ended the test itself.

--- a/src/service/launch.cpp
+++ b/src/service/launch.cpp
@@ -47,9 +47,9 @@
     if (!sockets.is_number_unsigned() || sockets.get<std::uint64_t>() < 64)
         throw Malformed("'limits.sockets' in the configuration is no number of at least 64");
     launch.sockets = sockets.get<std::size_t>();
-    const std::string settings = required(in, "settings").dump();
-    launch.terms = read_terms(settings);
-    launch.link_terms = read_link_terms(settings);
+    launch.settings = required(in, "settings").dump();
+    launch.terms = read_terms(launch.settings);
+    launch.link_terms = read_link_terms(launch.settings);
     for (const VerticalTerms& v : launch.terms.verticals)
         if (v.second_step > 0)
             throw Malformed("a vertical has a second step, which is not served on sockets yet");
--- a/src/service/launch.hpp
+++ b/src/service/launch.hpp
@@ -14,6 +14,7 @@
     HostPort listen, discovery;
     std::uint64_t seed = 0;
     std::size_t sockets = 0;  // file descriptors that the process may hold
+    std::string settings;     // as stated
     Terms terms;
     LinkTerms link_terms;
     TargetList known;  // the list as this query router last had it
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -22,22 +22,51 @@
 
 }  // namespace
 
-Service::Service(boost::asio::io_context& io, const Launch& launch)
-    : io_(io), bridge_(time_, launch.terms, launch.link_terms, launch.seed),
-      front_(io_, time_, bridge_, clients_of(launch), launch.link_terms.longest_wait),
-      links_(io_, time_, launch.link_terms, bridge_, links_of(launch)),
-      watch_(io_, time_, bridge_, launch.discovery, static_cast<std::uint32_t>(launch.terms.places)),
-      signals_(io_, SIGTERM, SIGINT), timer_(io_) {
+Service::Service(boost::asio::io_context& io, std::function<Launch()> read)
+    : io_(io), signals_(io_, SIGTERM, SIGINT, SIGHUP), read_(std::move(read)), launch_(read_()),
+      bridge_(time_, launch_.terms, launch_.link_terms, launch_.seed),
+      front_(io_, time_, bridge_, clients_of(launch_), launch_.link_terms.longest_wait),
+      links_(io_, time_, launch_.link_terms, bridge_, links_of(launch_)),
+      watch_(io_, time_, bridge_, launch_.discovery, static_cast<std::uint32_t>(launch_.terms.places)),
+      timer_(io_) {
     bridge_.connect(front_, links_);
-    bridge_.take_list(launch.known, ListKind::cached);
-    front_.listen(launch.listen.host, launch.listen.port);
-    watch_.start(launch.known.generation);
-    signals_.async_wait([this](const boost::system::error_code& ec, int) {
-        if (!ec) begin_stop();
+    bridge_.take_list(launch_.known, ListKind::cached);
+    front_.listen(launch_.listen.host, launch_.listen.port);
+    watch_.start(launch_.known.generation);
+    await_signal();
+    log_line("%s serves at %s:%u with %zu data nodes of list %llu", launch_.name.c_str(),
+             launch_.listen.host.c_str(), front_.port(), bridge_.nodes().ready(),
+             static_cast<unsigned long long>(launch_.known.generation));
+    launch_.known = {};
+}
+
+void Service::await_signal() {
+    signals_.async_wait([this](const boost::system::error_code& ec, int signal) {
+        if (ec) return;
+        signal == SIGHUP ? follow_launch() : begin_stop();
+        await_signal();
     });
-    log_line("%s serves at %s:%u with %zu data nodes of list %llu", launch.name.c_str(),
-             launch.listen.host.c_str(), front_.port(), bridge_.nodes().ready(),
-             static_cast<unsigned long long>(launch.known.generation));
+}
+
+// Guards against ending on a new configuration, and against one that can't be read: the old one stands then.
+// Of the rest only discovery's address can change under way; what can't is told, and holds at the next start.
+void Service::follow_launch() {
+    try {
+        const Launch next = read_();
+        std::string later;
+        const auto differs = [&later](bool changed, const char* what) {
+            if (changed) later.append(later.empty() ? "; only at the next start: " : ", ").append(what);
+        };
+        differs(next.name != launch_.name, "name");
+        differs(next.listen != launch_.listen, "listen");
+        differs(next.sockets != launch_.sockets, "limits.sockets");
+        differs(next.settings != launch_.settings, "settings");
+        log_line("SIGHUP: discovery at %s:%u%s", next.discovery.host.c_str(), next.discovery.port,
+                 later.c_str());
+        watch_.follow(next.discovery);
+    } catch (const std::exception& e) {
+        log_line("SIGHUP: %s; the configuration stands", e.what());
+    }
 }
 
 void Service::run() {
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 
 #include "service/bridge.hpp"
 #include "service/launch.hpp"
@@ -12,8 +13,9 @@
 
 class Service {
   public:
-    // Listens from here on. Throws boost::system::system_error where the address can't be had.
-    Service(boost::asio::io_context& io, const Launch& launch);
+    // Listens from here on, as `read` tells it to; `read` is asked again at each SIGHUP. Throws what `read`
+    // throws, and boost::system::system_error where the address can't be had.
+    Service(boost::asio::io_context& io, std::function<Launch()> read);
 
     // Serves until a SIGTERM and all that it asks for are done.
     void run();
@@ -25,16 +27,20 @@
     std::uint16_t port() const { return front_.port(); }
 
   private:
+    void await_signal();
+    void follow_launch();
     void set_timer();
     bool may_exit();
 
     boost::asio::io_context& io_;
+    boost::asio::signal_set signals_;  // taken before the configuration is read, so that no change is missed
+    const std::function<Launch()> read_;
+    Launch launch_;
     Timekeeper time_;
     Bridge bridge_;
     ClientFront front_;
     NodeLinks links_;
     DiscoveryWatch watch_;
-    boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
     Nanos timer_at_ = Deadlines::never, stop_began_ = 0;
 };
--- a/src/wire/bodies.hpp
+++ b/src/wire/bodies.hpp
@@ -60,6 +60,8 @@
 struct HostPort {
     std::string host;
     std::uint16_t port = 0;
+
+    friend bool operator==(const HostPort&, const HostPort&) = default;
 };
 std::optional<HostPort> read_host_port(std::string_view text);
 
--- a/src/wire/discovery_watch.cpp
+++ b/src/wire/discovery_watch.cpp
@@ -30,11 +30,28 @@
     connect();
 }
 
+void DiscoveryWatch::end(Life& connection) {
+    error_code ec;
+    if (connection) connection->socket.close(ec);
+    connection.reset();
+}
+
 void DiscoveryWatch::stop() {
     time_.due.drop(due_);
-    error_code ec;
-    if (connection_) connection_->socket.close(ec);
-    connection_.reset();
+    end(connection_);
+    end(former_);
+}
+
+// Versions of the new address need not be those of the old one: so its whole list is asked for first.
+void DiscoveryWatch::follow(HostPort address) {
+    if (address == address_) return;
+    address_ = std::move(address);
+    end(former_);
+    if (connection_ && connection_->asked) std::swap(former_, connection_);
+    end(connection_);
+    whole_ = true;
+    silent_before_ = false;
+    connect();
 }
 
 void DiscoveryWatch::connect() {
@@ -45,7 +62,7 @@
     time_.due.move(due_, time_.now() + late, *this, Handle{}, silent);
     connection_->socket.async_connect({host, address_.port}, [this, c = connection_](const error_code& e) {
         if (c != connection_) return;
-        if (e) return give_up(e.message().c_str());
+        if (e) return lose(c, e.message().c_str());
         error_code ignored;
         c->socket.set_option(tcp::no_delay(true), ignored);
         ask();
@@ -60,25 +77,38 @@
     time_.due.move(due_, time_.now() + (whole_ ? 0 : wait) + late, *this, Handle{}, silent);
     boost::asio::async_write(connection_->socket, boost::asio::buffer(connection_->out),
                              [this, c = connection_](const error_code& e, std::size_t) {
-                                 if (c == connection_ && e) give_up(e.message().c_str());
+                                 if (e) lose(c, e.message().c_str());
                              });
-    read();
+    connection_->asked = true;
+    read(connection_);
+}
+
+void DiscoveryWatch::read(const Life& life) {
+    life->socket.async_read_some(boost::asio::buffer(life->buffer),
+                                 [this, c = life](const error_code& e, std::size_t n) {
+                                     if (c != connection_ && c != former_) return;
+                                     if (e) return lose(c, e.message().c_str());
+                                     c->in.append(c->buffer.data(), n);
+                                     take_answer(c);
+                                 });
 }
 
-void DiscoveryWatch::read() {
-    connection_->socket.async_read_some(boost::asio::buffer(connection_->buffer),
-                                        [this, c = connection_](const error_code& e, std::size_t n) {
-                                            if (c != connection_) return;
-                                            if (e) return give_up(e.message().c_str());
-                                            c->in.append(c->buffer.data(), n);
-                                            take_answer();
-                                        });
+void DiscoveryWatch::lose(const Life& c, const char* why) {
+    if (c == former_) return end(former_);
+    if (c == connection_) give_up(why);
 }
 
-void DiscoveryWatch::take_answer() {
-    AnswerReader& reader = connection_->reader;
-    const Reading reading = reader.feed(connection_->in);
-    if (reading == Reading::more) return read();
+void DiscoveryWatch::take_answer(const Life& c) {
+    AnswerReader& reader = c->reader;
+    const Reading reading = reader.feed(c->in);
+    if (reading == Reading::more) return read(c);
+    if (c == former_) {  // its last word, while the new address has not spoken
+        const auto list = reading == Reading::done && reader.status() == 200
+                              ? read_targets(reader.body(), places_)
+                              : std::nullopt;
+        if (list) taker_.on_list(*list);
+        return end(former_);
+    }
     if (reading == Reading::bad) return give_up("its answer can't be read");
     if (reader.status() != 200) return give_up("its answer is not 200");
     const auto list = read_targets(reader.body(), places_);
@@ -94,9 +124,11 @@
     silent_before_ = false;
     whole_ = false;
     generation_ = list->generation;
+    end(former_);
     const bool kept = reader.keep_alive();
     taker_.on_list(*list);
     reader.next();
+    c->asked = false;
     if (!kept) return connect();
     // One that answers at once and with nothing, time after time, is not asked without a pause.
     if (list->nodes.empty() && time_.now() - asked_at_ < wait / 2)
@@ -107,7 +139,8 @@
 void DiscoveryWatch::give_up(const char* why) {
     if (!silent_before_) log_line("discovery: %s; the list stands", why);
     silent_before_ = true;
-    stop();
+    time_.due.drop(due_);
+    end(connection_);
     time_.due.move(due_, time_.now() + again_after, *this, Handle{}, again);
 }
 
--- a/src/wire/discovery_watch.hpp
+++ b/src/wire/discovery_watch.hpp
@@ -1,5 +1,6 @@
 // The watch on discovery's list of data nodes: one call after the other on a kept connection, made anew when
-// it breaks or stays silent for longer than the call may wait.
+// it breaks or stays silent for longer than the call may wait. Once told of another address it goes there at
+// once; the call that is out at the old one may still bring news until the new one has spoken.
 #pragma once
 
 #include <array>
@@ -28,19 +29,25 @@
     // Watches for what is newer than `generation`.
     void start(std::uint64_t generation);
     void stop();
+    void follow(HostPort address);
     void on_due(Handle, std::uint64_t what) override;
 
   private:
+    struct Connection;
+    using Life = std::shared_ptr<Connection>;
+
     void connect();
     void ask();
-    void read();
-    void take_answer();
+    void read(const Life& c);
+    void take_answer(const Life& c);
+    void lose(const Life& c, const char* why);
+    static void end(Life& connection);
     void give_up(const char* why);
 
     boost::asio::io_context& io_;
     Timekeeper& time_;
     ListTaker& taker_;
-    const HostPort address_;
+    HostPort address_;
     const std::uint32_t places_;
     std::uint64_t generation_ = 0;
     Nanos asked_at_ = 0;
@@ -53,8 +60,9 @@
         std::string out, in;
         std::array<char, 8192> buffer;
         AnswerReader reader;
+        bool asked = false;  // a call is out on it
     };
-    std::shared_ptr<Connection> connection_;
+    Life connection_, former_;  // former_: at the address before
     Deadlines::Ticket due_ = Deadlines::none;
 };
 
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -3,6 +3,7 @@
 #include "service/service.hpp"
 
 #include <catch2/catch.hpp>
+#include <csignal>
 
 #include "helpers.hpp"
 
@@ -60,29 +61,34 @@
 struct World {
     boost::asio::io_context io{1};
     std::vector<std::unique_ptr<DataNode>> nodes;
-    StandIn discovery{io, [this](Peer& peer) {
-                          for (std::size_t end; (end = peer.got.find("\r\n\r\n")) != std::string::npos;) {
-                              watches.emplace_back(peer.got.substr(0, end), peer.shared_from_this());
-                              peer.got.erase(0, end + 4);
-                          }
-                      }};
     std::vector<std::pair<std::string, std::shared_ptr<Peer>>> watches;
+    Peer::Seen on_watch = [this](Peer& peer) {
+        for (std::size_t end; (end = peer.got.find("\r\n\r\n")) != std::string::npos;) {
+            watches.emplace_back(peer.got.substr(0, end), peer.shared_from_this());
+            peer.got.erase(0, end + 4);
+        }
+    };
+    StandIn discovery{io, on_watch}, other_discovery{io, on_watch};
     std::unique_ptr<Service> service;
+    std::string known, lookout = discovery.address();  // what the configuration says now
+    std::size_t sockets;
+    int reads = 0;
 
     // With so many nodes, in turn at places 0 and 1; both hold every shard.
-    explicit World(int count = 2, std::size_t sockets = 256) {
-        std::string known;
+    explicit World(int count = 2, std::size_t descriptors = 256) : sockets(descriptors) {
         for (int n = 0; n < count; ++n) {
             nodes.push_back(std::make_unique<DataNode>(io));
             known += (n > 0 ? "," : "") + entry(n, "up");
         }
-        Launch launch =
-            read_launch(R"({"name":"r","listen":"127.0.0.1:1","discovery":")" + discovery.address() +
-                        R"(","seed":"00ff","limits":{"sockets":)" + std::to_string(sockets) +
-                        R"(},"known":{"generation":4,"reset":true,"instances":[)" + known +
-                        "]},\"settings\":" + test::settings_text + "}");
-        launch.listen.port = 0;  // a free one
-        service = std::make_unique<Service>(io, launch);
+        service = std::make_unique<Service>(io, [this] { return ++reads, launch(); });
+    }
+    Launch launch() const {
+        Launch made = read_launch(R"({"name":"r","listen":"127.0.0.1:1","discovery":")" + lookout +
+                                  R"(","seed":"00ff","limits":{"sockets":)" + std::to_string(sockets) +
+                                  R"(},"known":{"generation":4,"reset":true,"instances":[)" + known +
+                                  "]},\"settings\":" + test::settings_text + "}");
+        made.listen.port = 0;  // a free one
+        return made;
     }
     std::string entry(int n, const std::string& state) const {
         return R"({"instanceId":"s)" + std::to_string(n) + R"(","hostPort":")" +
@@ -112,6 +118,10 @@
     }
 };
 
+std::string reply(const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 std::string query(const std::string& id, const std::string& more = "", int deadline = 3000,
                   const char* vertical = "part") {
     const std::string body =
@@ -229,9 +239,6 @@
     World w;
     w.until([&] { return w.watches.size() == 1; });
     CHECK(w.watches[0].first.find("GET /api/targets?index=4&wait=") == 0);
-    const auto reply = [](const std::string& body) {
-        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    };
     w.watches[0].second->send(
         reply(R"({"generation":5,"reset":false,"instances":[)" + w.entry(0, "draining") + "]}"));
     w.until([&] { return w.watches.size() == 2; });  // the next call follows at once
@@ -258,6 +265,63 @@
     w.until([&] { return w.watches.size() == 5; });
 }
 
+TEST_CASE("on SIGHUP discovery is watched at its new address, and nothing is dropped") {
+    // Guards against ending on the signal, against keeping to the old agent, and against a gap in what is
+    // told.
+    World w;
+    std::vector<Call> held;
+    for (auto& node : w.nodes) node->on_call = [&](const Call& call) { held.push_back(call); };
+    const auto c = w.client();
+    c->send(query("A"));
+    w.until([&] { return held.size() == 2 && w.watches.size() == 1; });
+    w.lookout = w.other_discovery.address();
+    std::raise(SIGHUP);
+    std::raise(SIGHUP);  // twice is as good as once
+    w.until([&] { return w.watches.size() == 2; });
+    CHECK(w.watches[1].first.find("GET /api/targets HTTP") == 0);  // its versions may be others
+    CHECK(w.watches[1].first.find("Host: " + w.lookout) != std::string::npos);
+    // Until the new one has spoken, the call that is out at the old one may still bring news.
+    const auto gone = [&](int n) {
+        return reply(R"({"generation":5,"reset":false,"instances":[)" + w.entry(n, "draining") + "]}");
+    };
+    w.watches[0].second->send(gone(0));
+    w.until([&] { return w.watches[0].second->ended; });
+    for (const Call& call : held) DataNode::say(call, "OK", "v" + call.id);
+    CHECK(w.answer(*c) == std::pair(200, whole_answer));
+    held.clear();
+    c->send(query("B"));
+    w.until([&] { return held.size() == 2; });
+    CHECK(held[0].peer == held[1].peer);  // node 1 alone
+    w.watches[1].second->send(
+        reply(R"({"generation":2,"reset":true,"instances":[)" + w.entry(0, "up") + "]}"));
+    w.until([&] { return w.watches.size() == 3; });
+    CHECK(w.watches[2].first.find("index=2&") != std::string::npos);
+    for (const Call& call : held) DataNode::say(call, "OK", "v" + call.id);
+    CHECK(w.answer(*c).first == 200);
+    held.clear();
+    c->send(query("C"));
+    w.until([&] { return held.size() == 2; });
+    CHECK(w.nodes[0]->calls.size() >= 2);
+    // What can't be read changes nothing; back at the first address, what the second says counts no more.
+    w.lookout = "nowhere";
+    std::raise(SIGHUP);
+    w.until([&] { return w.reads == 4; });
+    w.lookout = w.discovery.address();
+    std::raise(SIGHUP);
+    w.until([&] { return w.watches.size() == 4; });
+    w.watches[3].second->send(reply(R"({"generation":9,"reset":true,"instances":[]})"));
+    w.until([&] { return w.watches.size() == 5 && w.watches[2].second->ended; });
+    // And during the wind-down.
+    for (const Call& call : held) DataNode::say(call, "OK", "v" + call.id);
+    w.answer(*c);
+    w.service->begin_stop();
+    w.lookout = w.other_discovery.address();
+    std::raise(SIGHUP);
+    w.until([&] { return w.watches.size() == 6; });
+    while (w.service->turn()) {
+    }
+}
+
 TEST_CASE("with no data node a query still gets its answer in time, and the router stays up") {
     World w(0);
     const auto c = w.client();
