Leave connections to data nodes that fall silent; a spoilt answer fails one call

Per router 12 connections, one a node; ten of 24 fell silent for good, and src/wire/node_links.cpp (send, room) chose a connection as long as it had room; answers that stopped short left half a frame at the head of what came after it (take_frames).

Now a connection on which calls were written and nothing has come for longer than a connection may take to be made (the settings' connect time-out) takes no more while another can be had; once the node answers on another, the silent one is closed and its calls are called off, which the module sends elsewhere. Two silent ones mean a silent node: no third is made. What can't be read, answers no call that is or was out there, or does not end in time fails one call (the one it names, else the oldest written); the others are called off, since one spoilt answer tells nothing of the node's other calls. Late answers and second copies are passed over.

--- a/src/service/bridge.cpp
+++ b/src/service/bridge.cpp
@@ -132,16 +132,19 @@
 
 // An answer counts for the leaf call that is out for this part on this very link: late ones and those of an
 // earlier leaf call find none.
-void Bridge::on_node_answer(Handle link, const NodeAnswer& answer) {
+bool Bridge::on_node_answer(Handle link, const NodeAnswer& answer) {
     const auto it = by_text_.find(answer.query);
-    if (it == by_text_.end()) return;
+    if (it == by_text_.end()) return false;
     Query& q = *queries_.find(it->second);
     for (const Part& part : q.parts) {
         if (part.shard != answer.shard) continue;
         for (const Handle h : part.calls)
-            if (const LeafCall* call = calls_.find(h); call != nullptr && call->link == link)
-                return call_ended(h, answer.outcome, answer.value);
+            if (const LeafCall* call = calls_.find(h); call != nullptr && call->link == link) {
+                call_ended(h, answer.outcome, answer.value);
+                return true;
+            }
     }
+    return false;
 }
 
 void Bridge::on_call_lost(Handle call, Outcome outcome) { call_ended(call, outcome); }
--- a/src/service/bridge.hpp
+++ b/src/service/bridge.hpp
@@ -33,7 +33,7 @@
 
     void on_request(Handle client, Request& request, Nanos began) override;
     void on_client_gone(Handle client) override;
-    void on_node_answer(Handle link, const NodeAnswer& answer) override;
+    bool on_node_answer(Handle link, const NodeAnswer& answer) override;
     void on_call_lost(Handle call, Outcome outcome) override;
     void on_list(const TargetList& list) override {
         take_list(list, list.whole ? ListKind::full : ListKind::delta);
--- a/src/wire/node_frames.cpp
+++ b/src/wire/node_frames.cpp
@@ -43,7 +43,8 @@
         line.remove_prefix(space == std::string_view::npos ? line.size() : space + 1);
         return taken;
     };
-    const std::string_view id = word(), how = word();  // score and load report: outcomes tell more
+    const std::string_view id = word(), how = word(),
+                           score = word();  // outcomes tell more than score and report
     const auto dot = id.rfind('.');
     if (dot == std::string_view::npos || dot == 0 || how.empty()) return std::nullopt;
     NodeAnswer answer;
@@ -51,8 +52,11 @@
     const std::string_view shard = id.substr(dot + 1);
     const auto [at, ec] = std::from_chars(shard.data(), shard.data() + shard.size(), answer.shard);
     if (ec != std::errc() || at != shard.data() + shard.size()) return std::nullopt;
-    if (how == "OK") answer.outcome = Outcome::ok;
-    if (how == "REJECTED") answer.outcome = Outcome::full;
+    const bool scored =
+        !score.empty() && score.find_first_not_of("0123456789") == score.npos && !line.empty();
+    answer.spoilt = !scored || (how != "OK" && how != "REJECTED" && how != "ERROR");
+    if (how == "OK" && !answer.spoilt) answer.outcome = Outcome::ok;
+    if (how == "REJECTED" && !answer.spoilt) answer.outcome = Outcome::full;
     answer.value = rest.substr(end + 1);
     return answer;
 }
--- a/src/wire/node_frames.hpp
+++ b/src/wire/node_frames.hpp
@@ -41,9 +41,11 @@
     std::uint32_t shard = 0;
     Outcome outcome = Outcome::error;
     std::string_view value;
+    bool spoilt = false;  // whose part it is can be told, but not how that ended
 };
 
-// None if the line can't be read. An end that is not known counts as an error: the part may have run.
+// None if the line can't be read. An end that is not known counts as an error: the part may have run. Of the
+// load report nothing is asked.
 std::optional<NodeAnswer> read_node_answer(std::string_view rest);
 
 }  // namespace tealcart
--- a/src/wire/node_links.cpp
+++ b/src/wire/node_links.cpp
@@ -14,7 +14,17 @@
 
 constexpr std::size_t frames_a_write = 64;
 constexpr std::size_t most_queued = 4096;
+constexpr std::size_t most_past = 1024;
 constexpr Nanos ms = 1'000'000;
+constexpr std::string_view letters = "YNGT";  // of frames that come from data nodes
+
+void log_spoilt(std::uint32_t node) {
+    log_line("data node %u sent what can't be read; its connection is given up", node);
+}
+
+std::uint32_t mark_of(std::string_view query, std::uint32_t shard) {
+    return static_cast<std::uint32_t>(std::hash<std::string_view>()(query)) + shard;
+}
 
 }  // namespace
 
@@ -26,13 +36,18 @@
 
 Handle NodeLinks::send(std::uint32_t node, const std::string& address, std::vector<LeafPiece> pieces,
                        std::span<const Handle> avoid) {
-    if (node >= of_node_.size()) of_node_.resize(node + 1);
-    Handle chosen;
-    for (const Handle h : of_node_[node]) {
-        if (!room(*links_.find(h)) || std::find(avoid.begin(), avoid.end(), h) != avoid.end()) continue;
-        chosen = h;
-        if (links_.find(h)->up) break;
+    Handle chosen, fallback;
+    int silent_links = 0;
+    for (const Handle h : of_node(node)) {
+        const Link& link = *links_.find(h);
+        const bool is_silent = silent(link);
+        silent_links += is_silent;
+        if (!room(link) || std::find(avoid.begin(), avoid.end(), h) != avoid.end()) continue;
+        (is_silent ? fallback : chosen) = h;
+        if (link.up && !is_silent) break;
     }
+    // Where two are silent it is the node, and a third would tell no more.
+    if (chosen == Handle{} && silent_links >= 2) chosen = fallback;
     Link* link = links_.find(chosen);
     if (link == nullptr) {
         chosen = open_link(node, address);
@@ -41,15 +56,39 @@
     }
     if (link->up) time_.due.drop(link->due);  // not idle any more
     ++frames_;
-    for (const LeafPiece& piece : pieces) link->carried.push_back({piece.call, frames_});
+    for (const LeafPiece& piece : pieces)
+        link->carried.push_back({piece.call, frames_, mark_of(piece.query->id, piece.shard)});
     link->queue.push_back({frames_, std::move(pieces), {}});
     write(chosen);
     return chosen;
 }
 
-// A frame takes one place, however many parts it holds; the calls of a frame stand side by side.
+std::vector<Handle> NodeLinks::of_node(std::uint32_t node) const {
+    const auto found = of_node_.find(node);
+    return found == of_node_.end() ? std::vector<Handle>() : found->second;
+}
+
+// Guards against a connection that stays open and falls silent: all that is sent on it would be lost while
+// its node is well. It takes no more while another can be had.
+bool NodeLinks::silent(const Link& link) const {
+    return link.unheard_since > 0 && time_.now() - link.unheard_since > connect_timeout_;
+}
+
+// The node has just answered on another link: what is out on silent ones is called off, to be sent again.
+void NodeLinks::end_silent(std::uint32_t node) {
+    for (const Handle h : of_node(node)) {
+        const Link* link = links_.find(h);
+        if (link == nullptr || !silent(*link)) continue;
+        log_line("data node %u answers, but not on a connection silent for %lld ms: it is given up", node,
+                 static_cast<long long>((time_.now() - link->unheard_since) / ms));
+        close(h, Outcome::cancelled);
+    }
+}
+
+// A frame takes one place, however many parts it holds; the calls of a frame stand side by side. A link on
+// which a frame is in part there takes no more: it may never end.
 bool NodeLinks::room(const Link& link) const {
-    if (link.retired || link.closed) return false;
+    if (link.retired || link.closed || !link.in.empty()) return false;
     if (link.carried.size() < calls_a_link_) return true;
     std::size_t frames = 0;
     for (std::size_t i = 0; i < link.carried.size(); ++i)
@@ -111,7 +150,8 @@
             if (!l.closed && ec) close(h, Outcome::reset);
             if (!l.closed) {
                 l.in.append(l.buffer.data(), n);
-                if (!take_frames(h)) close(h, Outcome::reset);
+                l.unheard_since = time_.now();
+                if (!take_frames(h)) spoil(h, false);
             }
             --l.operations;  // only now, so that the slot is kept while it is worked on
             if (l.closed) return settle(h);
@@ -119,33 +159,60 @@
         });
 }
 
-// False where the framing is lost, or the node says that it was on our side.
+// False where the framing is lost, what comes answers no call of ours, or the node says that it was on our
+// side.
 bool NodeLinks::take_frames(Handle h) {
     Link& link = *links_.find(h);
-    std::string_view in = link.in;
+    const std::string bytes = std::exchange(link.in, {});
+    std::string_view in = bytes;
     Frame frame;
     bool sound = true;
     for (;;) {
         const Framing framing = take_frame(in, frame);
-        if (framing == Framing::more) break;
+        if (framing == Framing::more && (in.size() < 5 || letters.find(in[4]) != letters.npos)) break;
         if (framing == Framing::frame && (frame.letter == 'G' || frame.letter == 'T')) continue;  // a probe's
         const auto answer =
             framing == Framing::frame && frame.letter == 'Y' ? read_node_answer(frame.rest) : std::nullopt;
         if (answer) {
-            owner_.on_node_answer(h, *answer);
+            const std::uint32_t mark = mark_of(answer->query, answer->shard);
+            const bool ours = owner_.on_node_answer(h, *answer);
             if (link.closed) return true;
-            continue;
+            if (ours && answer->outcome == Outcome::ok) end_silent(link.node);
+            // A late answer or a second copy is passed over.
+            const bool known = ours || std::find(link.past.begin(), link.past.end(), mark) != link.past.end();
+            if (known && !answer->spoilt) continue;
+            if (ours) {
+                log_spoilt(link.node);
+                spoil(h, true);
+                return true;
+            }
         }
         sound = false;
         if (framing == Framing::frame && frame.letter == 'N')
             log_line("data node %u can't use a frame: %.*s", link.node,
                      static_cast<int>(std::min<std::size_t>(frame.rest.size(), 200)), frame.rest.data());
         else
-            log_line("data node %u sent what is no frame; its connection is given up", link.node);
+            log_spoilt(link.node);
         break;
     }
-    link.in.erase(0, link.in.size() - in.size());
-    return sound;
+    if (!sound) return false;
+    link.in = in;
+    // Half a frame: with no call out it is none of ours; else it has as long as a connection has to be made.
+    if (link.in.empty() && !link.carried.empty()) time_.due.drop(link.due);
+    if (!link.in.empty() && !link.carried.empty() && link.due == Deadlines::none)
+        time_.due.move(link.due, time_.now() + connect_timeout_, *this, h);
+    return link.in.empty() || !link.carried.empty();
+}
+
+// Ends a link on which comes what can't be read. That was the answer to one leaf call: to the oldest that was
+// written, unless it has been `told`. The others are called off, since nothing more comes here. Guards
+// against blaming a node many times for one spoilt answer.
+void NodeLinks::spoil(Handle h, bool told) {
+    Link& link = *links_.find(h);
+    const auto first = std::find_if(link.carried.begin(), link.carried.end(),
+                                    [&](const Carried& c) { return written(link, c); });
+    if (!told && first != link.carried.end()) owner_.on_call_lost(Handle(first->call), Outcome::error);
+    close(h, Outcome::cancelled);
 }
 
 // Of what is not yet written, loses those pieces that `which` names, as never sent.
@@ -198,6 +265,7 @@
             put(link.texts.emplace_back(frame.pieces[j].query)->text);
         }
         link.ends.emplace_back(frame.number, size);
+        if (link.unheard_since == 0) link.unheard_since = now;
     }
     link.writing = true;
     ++link.operations;
@@ -242,26 +310,37 @@
 void NodeLinks::done(Handle h, Handle call) {
     Link* link = links_.find(h);
     if (link == nullptr || link->closed) return;
-    std::erase_if(link->carried, [call](const Carried& c) { return c.call == call; });
+    const auto ended =
+        std::find_if(link->carried.begin(), link->carried.end(), [call](auto& c) { return c.call == call; });
+    if (ended != link->carried.end()) {
+        if (link->past.size() < most_past) link->past.push_back(0);
+        link->past[link->past_at++ % most_past] = ended->mark;
+        link->carried.erase(ended);
+    }
     idle_if_empty(h);
 }
 
 void NodeLinks::idle_if_empty(Handle h) {
     Link& link = *links_.find(h);
     if (!link.up || link.closed || !link.carried.empty()) return;
-    if (link.retired && !link.writing && link.queue.empty()) return close(h, Outcome::reset);
+    if (!link.in.empty() || silent(link) || (link.retired && !link.writing && link.queue.empty()))
+        return close(h, Outcome::reset);
+    link.unheard_since = 0;
     time_.due.move(link.due, link.retired ? time_.now() : time_.now() + idle_, *this, h);
 }
 
 void NodeLinks::on_due(Handle h, std::uint64_t) {
     Link& link = *links_.find(h);
     link.due = Deadlines::none;
+    if (!link.in.empty()) {
+        log_spoilt(link.node);
+        return spoil(h, false);
+    }
     close(h, Outcome::connect_failed);  // it is idle, or was not made in time
 }
 
 void NodeLinks::retire(std::uint32_t node, bool leaving) {
-    if (node >= of_node_.size()) return;
-    for (const Handle h : std::vector<Handle>(of_node_[node])) {
+    for (const Handle h : of_node(node)) {
         Link& link = *links_.find(h);
         link.retired = true;
         if (leaving) lose_unwritten(link, [](const LeafPiece&) { return true; });
@@ -273,22 +352,28 @@
     links_.each([this](Handle h, Link&) { close(h, Outcome::reset); });
 }
 
-// Ends a link and all leaf calls on it. What was written may have run: that ends as `written` says; what was
+bool NodeLinks::written(const Link& link, const Carried& c, std::size_t bytes_written) const {
+    for (const Outgoing& frame : link.queue)
+        if (frame.number == c.frame) return false;
+    for (const auto& [frame, end] : link.ends)
+        if (frame == c.frame && bytes_written < end) return false;
+    return true;
+}
+
+// Ends a link and all leaf calls on it. What was written may have run: that ends as `outcome` says; what was
 // not never has.
-void NodeLinks::close(Handle h, Outcome written, std::size_t bytes_written) {
+void NodeLinks::close(Handle h, Outcome outcome, std::size_t bytes_written) {
     Link* link = links_.find(h);
     if (link == nullptr || link->closed) return;
     link->closed = true;
     time_.due.drop(link->due);
     error_code ec;
     link->socket.close(ec);
-    std::erase(of_node_[link->node], h);
+    if (const auto of = of_node_.find(link->node); std::erase(of->second, h) > 0 && of->second.empty())
+        of_node_.erase(of);
     const auto carried = std::exchange(link->carried, {});
     for (const Carried& c : carried) {
-        bool unwritten = std::any_of(link->queue.begin(), link->queue.end(),
-                                     [&c](const Outgoing& frame) { return frame.number == c.frame; });
-        for (const auto& [frame, end] : link->ends) unwritten |= frame == c.frame && bytes_written < end;
-        owner_.on_call_lost(c.call, unwritten ? Outcome::connect_failed : written);
+        owner_.on_call_lost(c.call, written(*link, c, bytes_written) ? outcome : Outcome::connect_failed);
     }
     link->queue.clear();
     settle(h);
--- a/src/wire/node_links.hpp
+++ b/src/wire/node_links.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "router/query_router.hpp"
@@ -37,7 +38,8 @@
 class LinkOwner {
   public:
     virtual ~LinkOwner() = default;
-    virtual void on_node_answer(Handle link, const NodeAnswer& answer) = 0;
+    // False if it belongs to no leaf call that is out on this link.
+    virtual bool on_node_answer(Handle link, const NodeAnswer& answer) = 0;
     virtual void on_call_lost(Handle call, Outcome outcome) = 0;
 };
 
@@ -86,6 +88,7 @@
     struct Carried {
         Handle call;
         std::uint64_t frame = 0;
+        std::uint32_t mark = 0;  // of the part's id
     };
     struct Link {
         explicit Link(boost::asio::io_context& io) : socket(io) {}
@@ -99,21 +102,31 @@
         std::vector<std::pair<std::uint64_t, std::size_t>> ends;  // frames being written, and where they end
         std::deque<std::string> heads;                            // their bytes, beside the queries' texts
         std::vector<std::shared_ptr<const QueryText>> texts;
+        Nanos unheard_since =
+            0;  // calls were written, or are still out, and nothing has come since; 0 for none
         std::string in;
         std::array<char, 8192> buffer;
-        Deadlines::Ticket due = Deadlines::none;  // while it is made: its time-out; while idle: its end
+        std::vector<std::uint32_t> past;  // marks of parts whose calls have ended, of the last ones
+        std::size_t past_at = 0;
+        // While it is made: its time-out; while idle: its end; while a frame is in part there: that one's.
+        Deadlines::Ticket due = Deadlines::none;
     };
 
     Handle open_link(std::uint32_t node, const std::string& address);
+    std::vector<Handle> of_node(std::uint32_t node) const;
     bool room(const Link& link) const;
+    bool silent(const Link& link) const;
+    void end_silent(std::uint32_t node);
     void on_connected(Handle h, const boost::system::error_code& ec);
     void read(Handle h);
     void write(Handle h);
     bool take_frames(Handle h);
+    bool written(const Link& link, const Carried& carried, std::size_t bytes_written = SIZE_MAX) const;
+    void spoil(Handle h, bool told);
     template <typename Which>
     void lose_unwritten(Link& link, Which which);
     void idle_if_empty(Handle h);
-    void close(Handle h, Outcome written, std::size_t bytes_written = SIZE_MAX);
+    void close(Handle h, Outcome outcome, std::size_t bytes_written = SIZE_MAX);
     void settle(Handle h);
 
     boost::asio::io_context& io_;
@@ -122,7 +135,7 @@
     const std::size_t calls_a_link_, most_;
     LinkOwner& owner_;
     Slots<Link> links_;
-    std::vector<std::vector<Handle>> of_node_;
+    std::unordered_map<std::uint32_t, std::vector<Handle>> of_node_;  // of nodes that have any
     std::uint64_t frames_ = 0;
 };
 
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <set>
 
 #include "helpers.hpp"
 
@@ -373,12 +374,25 @@
 namespace {
 
 struct Owner final : LinkOwner {
-    std::vector<std::pair<Handle, Outcome>> lost;
-    void on_node_answer(Handle, const NodeAnswer&) override {}
+    std::vector<std::pair<Handle, Outcome>> lost, answered;
+    // Call 7 is asked as "q7", for shard 0.
+    bool on_node_answer(Handle, const NodeAnswer& answer) override {
+        const Handle call{static_cast<std::uint32_t>(std::stoul("0" + std::string(answer.query.substr(1)))),
+                          1};
+        if (!out.contains(call.slot) || answer.shard != 0) return false;
+        answered.emplace_back(call, answer.outcome);
+        end(call);
+        return true;
+    }
+    void end(Handle call) {
+        out.erase(call.slot);
+        for (const Handle link : used) links->done(link, call);
+    }
     void on_call_lost(Handle call, Outcome outcome) override {
         lost.emplace_back(call, outcome);
-        for (const Handle link : used) links->done(link, call);
+        end(call);
     }
+    std::set<std::uint32_t> out;
     NodeLinks* links = nullptr;
     std::vector<Handle> used;
 };
@@ -395,6 +409,7 @@
     Handle send(std::uint32_t to, std::uint32_t call, Nanos send_by = Deadlines::never) {
         const auto text = std::make_shared<QueryText>(QueryText{"q" + std::to_string(call), "", ""});
         owner.links = &links;
+        owner.out.insert(call);
         owner.used.push_back(
             links.send(to, node.address(), {{Handle{call, 1}, text, 0, now + 100 * test::ms, send_by}}, {}));
         return owner.used.back();
@@ -438,7 +453,7 @@
     // Idle: closed before the far side would, and not used from then on.
     const Handle kept = rig.send(1, 200);
     rig.until([&] { return !rig.node.peers.empty() && !rig.node.peers.back()->got.empty(); });
-    rig.links.done(kept, Handle{200, 1});
+    rig.owner.end(Handle{200, 1});
     rig.now += rig.terms.idle_close - 1;
     rig.time.due.tell(rig.now);
     CHECK_FALSE(rig.send(1, 201) == kept);
@@ -454,6 +469,107 @@
 
 namespace {
 
+std::string said(int call, const std::string& how = "OK 1 -\nv") {
+    return frame('Y', "q" + std::to_string(call) + ".0 " + how);
+}
+
+}  // namespace
+
+TEST_CASE("a spoilt answer fails one leaf call; the others on its connection are called off") {
+    // Guards against blaming a node once for each call on the connection, and against waiting on it further.
+    const std::string spoilt =
+        GENERATE(std::string("\xff\xff\xff\xff"), std::string("\x09\0\0\0Znoise", 10), frame('Y', "no line"),
+                 frame('Y', "q9.0 OK 1 -\nv"), frame('Y', "q1 OK 1 -\n"), said(1, "ODD 1 -\nv"),
+                 said(1, "OK\nv"), said(1, "OK x -\nv"), frame('N', "words"));
+    LinkRig rig;
+    const Handle link = rig.send(0, 1);
+    for (std::uint32_t call = 2; call < 5; ++call) CHECK(rig.send(0, call) == link);
+    rig.until([&] { return !rig.node.peers.empty() && rig.node.peers[0]->got.size() == 4 * 20; });
+    rig.node.peers[0]->send(said(2) + spoilt);
+    rig.until([&] { return rig.owner.out.empty(); });
+    CHECK(rig.owner.answered[0] == std::pair(Handle{2, 1}, Outcome::ok));
+    std::vector<Outcome> ends;
+    for (const auto* some : {&rig.owner.answered, &rig.owner.lost})
+        for (const auto& [call, outcome] : *some) ends.push_back(outcome);
+    using enum Outcome;
+    CHECK(ends == std::vector{ok, error, cancelled, cancelled});
+    rig.until([&] { return rig.node.peers[0]->ended; });
+}
+
+TEST_CASE("what comes behind a good answer costs no other call, and late answers cost nothing") {
+    LinkRig rig;
+    const Handle link = rig.send(0, 1);
+    CHECK(rig.send(0, 2) == link);
+    rig.until([&] { return !rig.node.peers.empty() && rig.node.peers[0]->got.size() == 2 * 20; });
+    rig.owner.end(Handle{2, 1});  // given up
+    // A second copy, a late answer, and a load report that nobody can read.
+    rig.node.peers[0]->send(said(1, "OK 1 \x01\xff,=\nv") + said(1) + said(2));
+    rig.until([&] { return rig.owner.answered.size() == 1; });
+    CHECK(rig.owner.answered[0].second == Outcome::ok);
+    CHECK(rig.send(0, 3) == link);
+    rig.until([&] { return rig.node.peers[0]->got.size() == 3 * 20; });
+    rig.node.peers[0]->send(said(3) + "nois");
+    rig.until([&] { return rig.node.peers[0]->ended; });
+    CHECK(rig.owner.answered.size() == 2);
+    CHECK(rig.owner.lost.empty());
+}
+
+TEST_CASE("a connection that falls silent is not used on, and given up once its node answers on another") {
+    // Guards against taking a broken connection for a node that is gone: all calls to it would be lost.
+    LinkRig rig;
+    const Handle first = rig.send(0, 1);
+    rig.until([&] { return !rig.node.peers.empty() && !rig.node.peers[0]->got.empty(); });
+    rig.now += rig.terms.connect_timeout;
+    CHECK(rig.send(0, 2) == first);
+    rig.now += 1;
+    const Handle second = rig.send(0, 3);
+    CHECK_FALSE(second == first);
+    CHECK(rig.send(0, 4) == second);
+    rig.until([&] { return rig.node.peers.size() == 2 && !rig.node.peers[1]->got.empty(); });
+    // A node that turns calls away may still be at work on the others.
+    rig.node.peers[1]->send(said(3, "REJECTED 0 -\n"));
+    rig.until([&] { return rig.owner.answered.size() == 1; });
+    CHECK(rig.owner.lost.empty());
+    rig.node.peers[1]->send(said(4));
+    rig.until([&] { return rig.owner.lost.size() == 2; });
+    for (const auto& [call, outcome] : rig.owner.lost) CHECK(outcome == Outcome::cancelled);
+    CHECK(rig.send(0, 5) == second);
+    // With two that are silent it is the node: no third is made. Once nothing is out on one, it is closed.
+    rig.now += rig.terms.connect_timeout + 1;
+    rig.until([&] { return rig.node.peers[1]->got.size() >= 2 * 20; });
+    const Handle third = rig.send(0, 6);
+    CHECK_FALSE(third == second);
+    rig.until([&] { return rig.node.peers.size() == 3 && !rig.node.peers[2]->got.empty(); });
+    rig.now += rig.terms.connect_timeout + 1;
+    const Handle fourth = rig.send(0, 7);
+    CHECK((fourth == second || fourth == third));
+    for (const std::uint32_t call : {5U, 6U, 7U}) rig.owner.end(Handle{call, 1});
+    rig.until([&] { return rig.links.open() == 0; });
+}
+
+TEST_CASE("a frame that does not end spoils one call in time, and its connection takes no more") {
+    // Guards against a line, or a value, that never ends: its calls would wait for their whole patience.
+    LinkRig rig;
+    const Handle link = rig.send(0, 1);
+    rig.until([&] { return !rig.node.peers.empty() && !rig.node.peers[0]->got.empty(); });
+    rig.node.peers[0]->send(said(1).substr(0, 12));
+    rig.until([&] { return rig.time.due.size() == 1; });
+    CHECK_FALSE(rig.send(0, 2) == link);
+    rig.until([&] { return rig.node.peers.size() == 2 && !rig.node.peers[1]->got.empty(); });
+    rig.now += rig.terms.connect_timeout;
+    rig.time.due.tell(rig.now);
+    CHECK(rig.owner.lost == std::vector{std::pair(Handle{1, 1}, Outcome::error)});
+    // One that ends in time is as good as any, and its connection is used again.
+    const Handle second = rig.owner.used[1];
+    rig.node.peers[1]->send(said(2).substr(0, 12));
+    rig.until([&] { return rig.time.due.size() == 1; });
+    rig.node.peers[1]->send(said(2).substr(12));
+    rig.until([&] { return rig.owner.answered.size() == 1; });
+    CHECK(rig.send(0, 3) == second);
+}
+
+namespace {
+
 struct FrontRig final : RequestTaker {
     explicit FrontRig(std::size_t most) : front(io, time, *this, most, 4000 * test::ms) {
         front.listen("127.0.0.1", 0);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -203,6 +203,7 @@
     const auto piece = GENERATE(range<std::size_t>(1, 7), std::size_t{200});
     std::string in;
     std::vector<Outcome> ends;
+    int spoilt = 0;
     for (std::size_t at = 0; at < bytes.size(); at += piece) {
         in += bytes.substr(at, piece);
         std::string_view rest = in;
@@ -213,10 +214,12 @@
             CHECK(answer->shard == ends.size() + 1);
             CHECK(answer->value == (ends.empty() ? "v" : ""));
             ends.push_back(answer->outcome);
+            spoilt += answer->spoilt;
         }
         in.erase(0, in.size() - rest.size());
     }
     CHECK(ends == std::vector{Outcome::ok, Outcome::full, Outcome::error, Outcome::error});
+    CHECK(spoilt == 1);  // an end that nobody knows
 }
 
 TEST_CASE("frames that lie about their length and lines that can't be read are found") {
