Forget nodes that are gone, in the list and in the module

So the list remembers as many gone nodes as there ever were at a time, and the module keeps one while calls to it are out or count, or while it would be cold if it came back.

--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -127,6 +127,10 @@
         if (now_ == 0) looked_at_ = climbed_at_ = now;
         now_ = now;
         writer_ = &writer;
+        while (!taken_at_.empty() && taken_at_.front() <= now_ - budget_window_ + step_)
+            taken_at_.pop_front();
+        while (!further_at_.empty() && further_at_.front() < now_ - budget_window_ - step_)
+            further_at_.pop_front();
         arrivals.play(*this);
         if (now_ >= ask_again_at_) {
             writer_->listen();
@@ -163,10 +167,10 @@
     }
 
     std::uint32_t node_index(std::uint32_t id) {
+        if (const std::uint32_t known = nodes_.find(id); known != none) return known;
         const std::uint32_t n = nodes_.put(id);
-        if (n < node_id_.size()) return n;
-        const auto grow = [n](auto&... arrays) { (arrays.resize(n + 1), ...); };
-        grow(node_id_, place_, ready_, failing_, started_at_, heard_at_, paused_until_, group_, sampled_at_,
+        const auto anew = [&](auto&... arrays) { ((arrays.resize(nodes_.size()), arrays[n] = {}), ...); };
+        anew(node_id_, place_, ready_, failing_, started_at_, heard_at_, paused_until_, group_, sampled_at_,
              took_, ahead_, open_, streak_, recent_ended_, recent_bad_, cold_sent_);
         node_id_[n] = id;
         place_[n] = none;
@@ -176,13 +180,13 @@
     void on_nodes(ListKind kind, std::span<const NodeEntry> entries) override {
         if (kind == ListKind::failed) return void(ask_again_at_ = now_ + second);
         if (kind != ListKind::cached) ask_again_at_ = never;  // the subscription stands
-        if (kind != ListKind::delta) std::fill(ready_.begin(), ready_.end(), 0), listed_ = 0;
+        for (std::uint32_t n = 0; kind != ListKind::delta && n < place_.size(); ++n) leave(n);
         for (const NodeEntry& e : entries) {
             const std::uint32_t n = node_index(e.node);
             // Drains are kept: from the moment it is told, nothing new goes to a node that drains or is gone.
-            listed_ -= ready_[n];
-            listed_ += ready_[n] = e.availability == Availability::ready;
+            leave(n);
             if (e.availability == Availability::gone) continue;
+            listed_ += ready_[n] = e.availability == Availability::ready;
             group_[n] = group_ids_.put(e.group);
             groups_.resize(group_ids_.size());
             if (e.started_at != started_at_[n]) {  // a new process: what was learned of the old one is void
@@ -191,14 +195,21 @@
                 sampled_at_[n] = now_;
                 ahead_[n] = 0, streak_[n] = 0, paused_until_[n] = 0;
             }
-            if (place_[n] != e.place) {
-                if (place_[n] != none) std::erase(at_place_[place_[n]], n);
-                place_[n] = e.place;
-                at_place_[e.place].push_back(n);
-                std::sort(at_place_[e.place].begin(), at_place_[e.place].end(),
-                          [this](auto a, auto b) { return node_id_[a] < node_id_[b]; });
-            }
+            auto& here = at_place_[place_[n] = e.place];
+            const auto later = [&](auto i) { return node_id_[i] > e.node; };
+            here.insert(std::find_if(here.begin(), here.end(), later), n);
         }
+        // A gone node is forgotten, but not while calls to it are out or count, or it would be cold if it
+        // came back: guards against lists that bring ever new ids.
+        for (std::uint32_t n = 0; n < place_.size(); ++n)
+            if (place_[n] == none && open_[n] + recent_ended_[n] == 0 && warmth(n) >= 1 &&
+                nodes_.find(node_id_[n]) == n)
+                nodes_.drop(node_id_[n]);
+    }
+
+    void leave(std::uint32_t n) {
+        listed_ -= std::exchange(ready_[n], 0);
+        if (place_[n] != none) std::erase(at_place_[std::exchange(place_[n], none)], n);
     }
 
     void on_query(const QueryArrival& a) override {
@@ -221,8 +232,7 @@
         q.slo_at = std::min(q.end_by, began + v.terms.slo - margin_);
         if (a.tenant < tenants_.size()) {
             TenantShare& t = tenants_[a.tenant];
-            t.left = std::min(std::max(least_share, 2 * t.rate),
-                              t.left + t.rate * static_cast<double>(now_ - t.at) / second);
+            t.left = std::min(std::max(least_share, 2 * t.rate), t.left + t.rate * (now_ - t.at) / second);
             t.at = now_;
             if (t.left < 1) q.utility = over_share_utility_;
             t.left -= t.left < 1 ? 0 : 1;
@@ -378,8 +388,7 @@
     // The share of its capacity that a node that started a while ago has at least.
     double warmth(std::uint32_t n) const {
         if (started_at_[n] == 0 || cold_ <= 0 || now_ - started_at_[n] >= cold_) return 1;
-        const double age =
-            std::max(0.0, static_cast<double>(now_ - started_at_[n]) / static_cast<double>(cold_));
+        const double age = std::max(0.0, (now_ - started_at_[n]) / static_cast<double>(cold_));
         return cold_from_ + (1 - cold_from_) * age;
     }
 
@@ -390,10 +399,8 @@
         if (warm >= 1) return true;
         auto& sent = cold_sent_[n];
         while (!sent.empty() && sent.front() <= now_ - fall_ - step_) sent.pop_front();
-        const double most =
-            cold_turns_ / routers_ * warm * static_cast<double>(fall_) / std::max(service_, 20.0 * ms);
-        if (open_[n] >= 2 + static_cast<int>(3 * warm) ||
-            static_cast<double>(sent.size()) + 1 > std::max(1.0, most))
+        const double most = cold_turns_ / routers_ * warm * fall_ / std::max(service_, 20.0 * ms);
+        if (open_[n] >= 2 + static_cast<int>(3 * warm) || sent.size() + 1.0 > std::max(1.0, most))
             return false;
         // Of a hundred routers with one call each the sum would push it over: so it takes as many of its
         // turns as the rule leaves it of what its likes carry.
@@ -442,14 +449,9 @@
     }
 
     // Rule 6, with a round's margin at both ends of the window.
-    bool budget_left() {
-        if (!budgeted_) return true;
-        while (!taken_at_.empty() && taken_at_.front() <= now_ - budget_window_ + step_)
-            taken_at_.pop_front();
-        while (!further_at_.empty() && further_at_.front() < now_ - budget_window_ - step_)
-            further_at_.pop_front();
+    bool budget_left() const {
         const double most = budget_free_ + resend_ratio_ * static_cast<double>(taken_at_.size());
-        return static_cast<double>(further_at_.size()) + 1 <= most;
+        return !budgeted_ || further_at_.size() + 1.0 <= most;
     }
 
     // Rule 2: what may run twice, and for how long.
--- a/src/service/bridge.cpp
+++ b/src/service/bridge.cpp
@@ -111,9 +111,8 @@
 }
 
 void Bridge::take_list(const TargetList& list, ListKind kind) {
-    const std::size_t met = nodes_.met();
     NodeList::News news = nodes_.take(list);
-    for (auto n = static_cast<std::uint32_t>(met); n < nodes_.met(); ++n)
+    for (const std::uint32_t n : news.met)
         log_line("node %u is %s at %s", n, nodes_.name(n).c_str(), nodes_.address(n).c_str());
     arrived_.push_back(ListNews{kind, std::move(news.entries)});
     for (const std::uint32_t n : news.changed) links_->retire(n, false);
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -17,6 +17,8 @@
 
 constexpr Nanos ms = 1'000'000;
 
+std::size_t held_bytes();  // by all that was made with new and not yet deleted
+
 struct Sent {
     enum Kind { deliver, cancel, answer, reject, abort, wake, listen, log } kind;
     std::uint32_t id = 0, node = 0;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -275,3 +275,28 @@
     CHECK(calls.size() == 4);
     CHECK(std::none_of(calls.begin(), calls.end(), in_group));
 }
+
+TEST_CASE("ever new nodes, queries and leaf calls leave nothing behind") {
+    // Guards against memory that grows with the ids that were ever met; with a budget, against its counts.
+    Terms terms = small_terms();
+    terms.budgeted = true;
+    terms.budget_window = 1000 * ms;
+    QueryRouter router(terms, 7);
+    std::size_t held = 0;
+    for (std::uint32_t life = 0; life < 1500; ++life) {
+        std::vector<NodeEntry> list = small_list();
+        for (NodeEntry& e : list) e.node += 10 * life, e.started_at = 1 + life;
+        const Nanos now = start + life * 100 * ms;
+        play(router, now, [&](ArrivalHandler& h) { h.on_nodes(ListKind::full, list); });
+        const auto calls = ask(router, now + 10 * ms, 1 + 20 * life, 1, quarters);
+        REQUIRE(calls.size() == 4);
+        for (const Sent& s : calls) REQUIRE(s.node >= 100 + 10 * life);
+        // Some are still out when their node is gone, and end then.
+        if (life % 2 == 1)
+            play(router, now + 20 * ms, [&](ArrivalHandler& h) { h.on_nodes(ListKind::full, {}); });
+        end_all(router, now + 30 * ms, calls, life % 5 == 0 ? Outcome::reset : Outcome::ok, 20 * ms);
+        play(router, now + 99 * ms, [&](ArrivalHandler& h) { h.on_dropped(1 + 20 * life); });
+        if (life == 300) held = held_bytes();
+    }
+    CHECK(held_bytes() <= held + 10'000);
+}
--- a/tests/tables_test.cpp
+++ b/tests/tables_test.cpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <random>
 
+#include "helpers.hpp"
 #include "tables/deadlines.hpp"
 #include "tables/node_list.hpp"
 #include "tables/slots.hpp"
@@ -98,4 +99,29 @@
     CHECK(news.entries[0].node == 2);
     CHECK(news.leaving == std::vector<std::uint32_t>{1});
     CHECK(nodes.ready() == 1);
+    // Two at a time were the most, so of those that are gone the last two are remembered.
+    news = nodes.take({6, false, {node("b", "h:2", ready, 5), node("never met", "", gone)}, 0});
+    CHECK(news.met.empty());
+    CHECK(news.entries.size() == 1);
+    CHECK(nodes.size() == 3);
+    nodes.take({7, false, {node("d", "h:4", ready), node("b", "", gone), node("c", "", gone)}, 0});
+    news = nodes.take({8, false, {node("a", "h:1", ready), node("d", "", gone)}, 0});
+    CHECK(news.met == std::vector<std::uint32_t>{4});  // a, forgotten meanwhile
+}
+
+TEST_CASE("lists that bring ever new nodes leave nothing behind") {
+    NodeList nodes;
+    std::size_t held = 0;
+    for (std::uint64_t life = 0; life < 2000; ++life) {
+        const auto named = [&](std::uint64_t n, Availability a) {
+            return ListedNode{"node " + std::to_string(n), "h:1", "z", "k", 0, a, 0};
+        };
+        std::vector<ListedNode> list = {named(life, Availability::ready)};
+        const bool whole = life % 3 == 0;  // which does not name the one before
+        if (life > 0 && !whole) list.push_back(named(life - 1, Availability::gone));
+        nodes.take({life, whole, list, 0});
+        REQUIRE(nodes.size() <= 4);
+        if (life == 100) held = test::held_bytes();
+    }
+    CHECK(test::held_bytes() <= held + 1000);
 }
