Probe a silent connection before giving it up, so that heavy calls are not called off

Now a silent connection is probed once for each silence where the settings allow it, and given up only if that has stayed without an answer for as long again.

--- a/src/terms/terms_text.cpp
+++ b/src/terms/terms_text.cpp
@@ -126,6 +126,7 @@
     t.idle_close = span(limits, "idle_close");
     t.calls_a_link = whole(limits, "streams_per_conn", 1);
     t.most_held = whole(limits, "most_held", 1);
+    t.probing = flag(limits, "probing");
     t.parts_a_call = std::max(1, static_cast<int>(number(required(in, "extra"), "parts_a_call", 1)));
     return t;
 }
--- a/src/terms/terms_text.hpp
+++ b/src/terms/terms_text.hpp
@@ -23,7 +23,8 @@
     Nanos idle_close = 0;                // data nodes close a connection idle for so long
     int calls_a_link = 1;                // that one connection carries at once
     int parts_a_call = 1;
-    int most_held = 1;  // queries and parts in hand; with so many, further queries are turned away
+    bool probing = false;  // data nodes may be probed
+    int most_held = 1;     // queries and parts in hand; with so many, further queries are turned away
 };
 
 // Throw Malformed where the text is broken or a required setting is missing.
--- a/src/wire/node_links.cpp
+++ b/src/wire/node_links.cpp
@@ -32,7 +32,8 @@
                      std::size_t most)
     : io_(io), time_(time), connect_timeout_(terms.connect_timeout),
       idle_(terms.idle_close - terms.idle_close / 10),  // closed before the far side does
-      calls_a_link_(static_cast<std::size_t>(terms.calls_a_link)), most_(most), owner_(owner) {}
+      calls_a_link_(static_cast<std::size_t>(terms.calls_a_link)), most_(most), probing_(terms.probing),
+      owner_(owner) {}
 
 Handle NodeLinks::send(std::uint32_t node, const std::string& address, std::vector<LeafPiece> pieces,
                        std::span<const Handle> avoid) {
@@ -42,6 +43,7 @@
         const Link& link = *links_.find(h);
         const bool is_silent = silent(link);
         silent_links += is_silent;
+        if (is_silent) probe(h);
         if (!room(link) || std::find(avoid.begin(), avoid.end(), h) != avoid.end()) continue;
         (is_silent ? fallback : chosen) = h;
         if (link.up && !is_silent) break;
@@ -74,11 +76,25 @@
     return link.unheard_since > 0 && time_.now() - link.unheard_since > connect_timeout_;
 }
 
+// Asks for a sign of life, once for each silence, where the settings let it. True if that is just done or may
+// still be answered. Guards against taking heavy calls for a broken connection.
+bool NodeLinks::probe(Handle h) {
+    Link& link = *links_.find(h);
+    if (!probing_) return false;
+    if (link.probed_at >= link.unheard_since) return time_.now() - link.probed_at <= connect_timeout_;
+    link.probed_at = time_.now();
+    Outgoing frame;
+    start_frame(frame.bytes, 'G', 0);
+    link.queue.push_back(std::move(frame));
+    write(h);
+    return true;
+}
+
 // The node has just answered on another link: what is out on silent ones is called off, to be sent again.
 void NodeLinks::end_silent(std::uint32_t node) {
     for (const Handle h : of_node(node)) {
         const Link* link = links_.find(h);
-        if (link == nullptr || !silent(*link)) continue;
+        if (link == nullptr || !silent(*link) || probe(h)) continue;
         log_line("data node %u answers, but not on a connection silent for %lld ms: it is given up", node,
                  static_cast<long long>((time_.now() - link->unheard_since) / ms));
         close(h, Outcome::cancelled);
--- a/src/wire/node_links.hpp
+++ b/src/wire/node_links.hpp
@@ -102,8 +102,8 @@
         std::vector<std::pair<std::uint64_t, std::size_t>> ends;  // frames being written, and where they end
         std::deque<std::string> heads;                            // their bytes, beside the queries' texts
         std::vector<std::shared_ptr<const QueryText>> texts;
-        Nanos unheard_since =
-            0;  // calls were written, or are still out, and nothing has come since; 0 for none
+        // Calls were written, or are still out, and nothing has come since then; 0 for none.
+        Nanos unheard_since = 0, probed_at = 0;
         std::string in;
         std::array<char, 8192> buffer;
         std::vector<std::uint32_t> past;  // marks of parts whose calls have ended, of the last ones
@@ -116,6 +116,7 @@
     std::vector<Handle> of_node(std::uint32_t node) const;
     bool room(const Link& link) const;
     bool silent(const Link& link) const;
+    bool probe(Handle h);
     void end_silent(std::uint32_t node);
     void on_connected(Handle h, const boost::system::error_code& ec);
     void read(Handle h);
@@ -133,6 +134,7 @@
     Timekeeper& time_;
     const Nanos connect_timeout_, idle_;
     const std::size_t calls_a_link_, most_;
+    const bool probing_;
     LinkOwner& owner_;
     Slots<Link> links_;
     std::unordered_map<std::uint32_t, std::vector<Handle>> of_node_;  // of nodes that have any
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <optional>
 #include <set>
 
 #include "helpers.hpp"
@@ -398,20 +399,25 @@
 };
 
 struct LinkRig {
+    explicit LinkRig(bool probing = false) { links.emplace(io, time, allow(probing), owner, 3); }
     boost::asio::io_context io{1};
     Nanos now = 1'000'000 * test::ms;
     Timekeeper time{now};
     Owner owner;
     LinkTerms terms = read_link_terms(test::settings_text);
-    NodeLinks links{io, time, terms, owner, 3};
+    std::optional<NodeLinks> links;
     StandIn node{io, nullptr};
 
+    const LinkTerms& allow(bool probing) {
+        terms.probing = probing;
+        return terms;
+    }
     Handle send(std::uint32_t to, std::uint32_t call, Nanos send_by = Deadlines::never) {
         const auto text = std::make_shared<QueryText>(QueryText{"q" + std::to_string(call), "", ""});
-        owner.links = &links;
+        owner.links = &*links;
         owner.out.insert(call);
         owner.used.push_back(
-            links.send(to, node.address(), {{Handle{call, 1}, text, 0, now + 100 * test::ms, send_by}}, {}));
+            links->send(to, node.address(), {{Handle{call, 1}, text, 0, now + 100 * test::ms, send_by}}, {}));
         return owner.used.back();
     }
     template <typename Happened>
@@ -444,12 +450,12 @@
     for (std::uint32_t call = 0; call < 101; ++call) links.push_back(rig.send(0, call));
     CHECK(links[99] == links[0]);
     CHECK_FALSE(links[100] == links[0]);  // a hundred at once, by the settings
-    CHECK(rig.links.open() == 2);
+    CHECK(rig.links->open() == 2);
     // A node that drains gets nothing of what was not yet written.
-    rig.links.retire(0, true);
+    rig.links->retire(0, true);
     CHECK(rig.owner.lost.size() == 101);
     for (const auto& [call, outcome] : rig.owner.lost) CHECK(outcome == Outcome::moot);
-    rig.until([&] { return rig.links.open() == 0; });
+    rig.until([&] { return rig.links->open() == 0; });
     // Idle: closed before the far side would, and not used from then on.
     const Handle kept = rig.send(1, 200);
     rig.until([&] { return !rig.node.peers.empty() && !rig.node.peers.back()->got.empty(); });
@@ -457,7 +463,7 @@
     rig.now += rig.terms.idle_close - 1;
     rig.time.due.tell(rig.now);
     CHECK_FALSE(rig.send(1, 201) == kept);
-    rig.until([&] { return rig.links.open() == 1; });
+    rig.until([&] { return rig.links->open() == 1; });
     // A connection that is not made in time has carried nothing.
     rig.owner.lost.clear();
     rig.now += rig.terms.connect_timeout;
@@ -544,7 +550,53 @@
     const Handle fourth = rig.send(0, 7);
     CHECK((fourth == second || fourth == third));
     for (const std::uint32_t call : {5U, 6U, 7U}) rig.owner.end(Handle{call, 1});
-    rig.until([&] { return rig.links.open() == 0; });
+    rig.until([&] { return rig.links->open() == 0; });
+}
+
+TEST_CASE("where probes are allowed, a silent connection is given up only if it leaves one unanswered") {
+    // Guards against calling off heavy calls because lighter ones are answered on another connection.
+    LinkRig rig{true};
+    const Handle first = rig.send(0, 1);
+    rig.until([&] { return !rig.node.peers.empty() && !rig.node.peers[0]->got.empty(); });
+    rig.now += rig.terms.connect_timeout + 1;
+    rig.send(0, 2);
+    const auto answer_second = [&](int call) {
+        const std::size_t answered = rig.owner.answered.size();
+        rig.until([&] { return rig.node.peers.size() == 2 && !rig.node.peers[1]->got.empty(); });
+        rig.node.peers[1]->got.clear();
+        rig.node.peers[1]->send(said(call));
+        rig.until([&] { return rig.owner.answered.size() > answered; });
+    };
+    answer_second(2);
+    CHECK(rig.owner.lost.empty());
+    rig.until([&] { return rig.node.peers[0]->got == frame('R', "q1.0 0 d=100 0\n") + frame('G', ""); });
+    // Unanswered for as long as a connection has to be made, it is given up.
+    rig.now += rig.terms.connect_timeout;
+    rig.send(0, 3);
+    answer_second(3);
+    CHECK(rig.owner.lost.empty());
+    rig.now += 1;
+    rig.send(0, 4);
+    answer_second(4);
+    CHECK(rig.owner.lost == std::vector{std::pair(Handle{1, 1}, Outcome::cancelled)});
+    CHECK_FALSE(rig.send(0, 5) == first);
+}
+
+TEST_CASE("a connection that leaves its calls unanswered but not its probe is used on") {
+    LinkRig rig{true};
+    const Handle first = rig.send(0, 1);
+    CHECK(rig.send(0, 2) == first);
+    rig.until([&] { return !rig.node.peers.empty() && !rig.node.peers[0]->got.empty(); });
+    rig.now += rig.terms.connect_timeout + 1;
+    CHECK_FALSE(rig.send(0, 3) == first);
+    rig.until([&] { return rig.node.peers[0]->got.ends_with(frame('G', "")); });
+    rig.node.peers[0]->send(frame('G', "ERROR") + said(1));
+    rig.until([&] { return rig.owner.answered.size() == 1; });
+    CHECK(rig.send(0, 4) == first);
+    rig.until([&] { return rig.node.peers.size() == 2 && !rig.node.peers[1]->got.empty(); });
+    rig.node.peers[1]->send(said(3));
+    rig.until([&] { return rig.owner.answered.size() == 2; });
+    CHECK(rig.owner.lost.empty());
 }
 
 TEST_CASE("a frame that does not end spoils one call in time, and its connection takes no more") {
