--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -19,8 +19,16 @@
     held += malloc_usable_size(at);
     return at;
 }
+void* operator new(std::size_t size, const std::nothrow_t&) noexcept {
+    try {
+        return operator new(size);
+    } catch (const std::bad_alloc&) {
+        return nullptr;
+    }
+}
 void operator delete(void* at) noexcept {
     if (at != nullptr) held -= malloc_usable_size(at);
     std::free(at);
 }
 void operator delete(void* at, std::size_t) noexcept { operator delete(at); }
+void operator delete(void* at, const std::nothrow_t&) noexcept { operator delete(at); }
