Simplify after a last reading: one writer for frames without calls, nlohmann's UTF-8 check

Behaviour is as before, and every test keeps its assertions.

- src/wire/node_links.cpp: giving a part up and probing built the same kind of frame twice, now post(); take_frames carried a flag that a return says; the mark of an answer is reckoned only where no call of ours is out for it; the ring of past marks no longer grows by a placeholder.
- src/wire/node_frames.cpp: the UTF-8 decoder written here was one that nlohmann/json has; is_utf8 asks it, through the writer of answers.
What spoils an answer is reckoned in one place.
- src/wire/discovery_watch.cpp: an answer's list is read in one place for the old address and the new one.
- src/wire/client_front.cpp: a connection whose request is about to be read needs no second deadline, since reading sets one.
- src/wire/http.cpp: coding and length said twice are told by an exchange.
- tests: the rig of links takes its terms at its making; malformed requests are a list.

--- a/src/wire/bodies.cpp
+++ b/src/wire/bodies.cpp
@@ -9,8 +9,8 @@
 
 using Json = nlohmann::json;
 
-constexpr double sum_slack =
-    1e-4;  // stated weights are rounded: a sum may miss its value by so much, by the page
+// Stated weights are rounded: by the page a sum may miss its value by so much.
+constexpr double sum_slack = 1e-4;
 
 const Json* member(const Json& in, const char* key) {
     if (!in.is_object()) return nullptr;
@@ -136,6 +136,12 @@
 
 std::string AnswerBody::finish() { return std::move(out_ += "]}"); }
 
+bool is_utf8(std::string_view text) {
+    AnswerBody body(true);
+    body.add(0, text);
+    return Json::accept(body.finish());
+}
+
 std::string write_error(std::string_view words) {
     std::string out = "{\"error\":\"";
     return out.append(words).append("\"}");
--- a/src/wire/bodies.hpp
+++ b/src/wire/bodies.hpp
@@ -37,6 +37,9 @@
     bool first_ = true;
 };
 
+// JSON carries no other text, so a value that is none can't be handed on.
+bool is_utf8(std::string_view text);
+
 std::string write_error(std::string_view words);
 
 struct ListedNode {
--- a/src/wire/client_front.cpp
+++ b/src/wire/client_front.cpp
@@ -75,7 +75,7 @@
 // Guards against clients that connect, or ask once, and keep their connection without a word.
 void ClientFront::await_request(Handle h) {
     Client& c = *clients_.find(h);
-    time_.due.move(c.due, std::max(c.idle_since + quiet_for, time_.now()), *this, h);
+    time_.due.move(c.due, c.idle_since + quiet_for, *this, h);
 }
 
 // Nothing of a next request has come in.
@@ -230,9 +230,8 @@
     Client& c = *clients_.find(h);
     c.due = Deadlines::none;
     if (c.state == State::reading && !c.reader.begun()) {
-        if (idle(c)) return close(h);
-        return time_.due.move(c.due, time_.now() + accept_pause, *this,
-                              h);  // its request is about to be read
+        if (idle(c)) close(h);  // else its request is about to be read, which sets a time for it
+        return;
     }
     if (c.state == State::reading) {  // in the middle of a request
         c.state = State::asked;
--- a/src/wire/discovery_watch.cpp
+++ b/src/wire/discovery_watch.cpp
@@ -102,16 +102,15 @@
     AnswerReader& reader = c->reader;
     const Reading reading = reader.feed(c->in);
     if (reading == Reading::more) return read(c);
+    const auto list = reading == Reading::done && reader.status() == 200
+                          ? read_targets(reader.body(), places_)
+                          : std::nullopt;
     if (c == former_) {  // its last word, while the new address has not spoken
-        const auto list = reading == Reading::done && reader.status() == 200
-                              ? read_targets(reader.body(), places_)
-                              : std::nullopt;
         if (list) taker_.on_list(*list);
         return end(former_);
     }
     if (reading == Reading::bad) return give_up("its answer can't be read");
     if (reader.status() != 200) return give_up("its answer is not 200");
-    const auto list = read_targets(reader.body(), places_);
     if (!list) {
         whole_ = true;  // the last good list stands until a whole one comes
         return give_up("its list can't be read");
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -50,13 +50,12 @@
     void on_response_impl(int code, string_view, int, error_code&) override { status = code; }
     void on_field_impl(http::field name, string_view, string_view value, error_code& ec) override {
         // Any other coding than one chunked would leave the body's end open to dispute.
-        if (name == http::field::transfer_encoding && (!iequals(value, "chunked") || coded_))
+        if (name == http::field::transfer_encoding &&
+            (std::exchange(coded_, true) || !iequals(value, "chunked")))
             ec = http::error::bad_transfer_encoding;
-        coded_ |= name == http::field::transfer_encoding;
         if (name == http::field::content_length &&
-            (measured_ || value.find_first_not_of("0123456789") != value.npos))
+            (std::exchange(measured_, true) || value.find_first_not_of("0123456789") != value.npos))
             ec = http::error::bad_content_length;
-        measured_ |= name == http::field::content_length;
     }
     void on_header_impl(error_code&) override {}
     void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
--- a/src/wire/node_frames.cpp
+++ b/src/wire/node_frames.cpp
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include "wire/bodies.hpp"
+
 namespace tealcart {
 
 Framing take_frame(std::string_view& in, Frame& frame) {
@@ -33,29 +35,6 @@
     out.append(1, ' ').append(std::to_string(line.length)).append(1, '\n');
 }
 
-bool is_utf8(std::string_view text) {
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const auto lead = static_cast<unsigned char>(text[i]);
-        if (lead < 0x80) continue;
-        const int more = lead >= 0xc2 && lead < 0xe0   ? 1
-                         : lead >= 0xe0 && lead < 0xf0 ? 2
-                         : lead >= 0xf0 && lead < 0xf5 ? 3
-                                                       : 0;
-        if (more == 0 || text.size() - i <= static_cast<std::size_t>(more)) return false;
-        std::uint32_t code = lead & (0x3f >> more);
-        for (int j = 0; j < more; ++j) {
-            const auto next = static_cast<unsigned char>(text[++i]);
-            if ((next & 0xc0) != 0x80) return false;
-            code = code << 6 | (next & 0x3f);
-        }
-        // Too long a form, a half of a pair, or beyond the last character.
-        if (code < (more == 2 ? 0x800U : 0x80U) || (more == 3 && code < 0x10000) || code > 0x10ffff ||
-            (code >= 0xd800 && code < 0xe000))
-            return false;
-    }
-    return true;
-}
-
 std::optional<NodeAnswer> read_node_answer(std::string_view rest) {
     const auto end = rest.find('\n');
     if (end == std::string_view::npos) return std::nullopt;
@@ -66,8 +45,8 @@
         line.remove_prefix(space == std::string_view::npos ? line.size() : space + 1);
         return taken;
     };
-    const std::string_view id = word(), how = word(),
-                           score = word();  // outcomes tell more than score and report
+    // Of score and report nothing is used: outcomes tell more.
+    const std::string_view id = word(), how = word(), score = word();
     const auto dot = id.rfind('.');
     if (dot == std::string_view::npos || dot == 0 || how.empty()) return std::nullopt;
     NodeAnswer answer;
@@ -77,12 +56,12 @@
     if (ec != std::errc() || at != shard.data() + shard.size()) return std::nullopt;
     const bool scored =
         !score.empty() && score.find_first_not_of("0123456789") == score.npos && !line.empty();
-    answer.spoilt = !scored || (how != "OK" && how != "REJECTED" && how != "ERROR");
-    if (how == "OK" && !answer.spoilt) answer.outcome = Outcome::ok;
-    if (how == "REJECTED" && !answer.spoilt) answer.outcome = Outcome::full;
     answer.value = rest.substr(end + 1);
-    if (answer.outcome == Outcome::ok && !is_utf8(answer.value))
-        answer.outcome = Outcome::error, answer.spoilt = true;
+    if (how == "OK") answer.outcome = Outcome::ok;
+    if (how == "REJECTED") answer.outcome = Outcome::full;
+    answer.spoilt = !scored || (how != "OK" && how != "REJECTED" && how != "ERROR") ||
+                    (answer.outcome == Outcome::ok && !is_utf8(answer.value));
+    if (answer.spoilt) answer.outcome = Outcome::error;
     return answer;
 }
 
--- a/src/wire/node_frames.hpp
+++ b/src/wire/node_frames.hpp
@@ -44,9 +44,6 @@
     bool spoilt = false;  // whose part it is can be told, but not how that ended
 };
 
-// JSON carries no other text, so a value that is none can't be handed on.
-bool is_utf8(std::string_view text);
-
 // None if the line can't be read. An end that is not known counts as an error: the part may have run. Of the
 // load report nothing is asked.
 std::optional<NodeAnswer> read_node_answer(std::string_view rest);
--- a/src/wire/node_links.cpp
+++ b/src/wire/node_links.cpp
@@ -83,10 +83,7 @@
     if (!probing_) return false;
     if (link.probed_at >= link.unheard_since) return time_.now() - link.probed_at <= connect_timeout_;
     link.probed_at = time_.now();
-    Outgoing frame;
-    start_frame(frame.bytes, 'G', 0);
-    link.queue.push_back(std::move(frame));
-    write(h);
+    post(h, 'G', {});
     return true;
 }
 
@@ -182,7 +179,6 @@
     const std::string bytes = std::exchange(link.in, {});
     std::string_view in = bytes;
     Frame frame;
-    bool sound = true;
     for (;;) {
         const Framing framing = take_frame(in, frame);
         if (framing == Framing::more && (in.size() < 5 || letters.find(in[4]) != letters.npos)) break;
@@ -190,12 +186,12 @@
         const auto answer =
             framing == Framing::frame && frame.letter == 'Y' ? read_node_answer(frame.rest) : std::nullopt;
         if (answer) {
-            const std::uint32_t mark = mark_of(answer->query, answer->shard);
             const bool ours = owner_.on_node_answer(h, *answer);
             if (link.closed) return true;
             if (ours && answer->outcome == Outcome::ok) end_silent(link.node);
             // A late answer or a second copy is passed over.
-            const bool known = ours || std::find(link.past.begin(), link.past.end(), mark) != link.past.end();
+            const bool known = ours || std::find(link.past.begin(), link.past.end(),
+                                                 mark_of(answer->query, answer->shard)) != link.past.end();
             if (known && !answer->spoilt) continue;
             if (ours) {
                 log_spoilt(link.node);
@@ -203,21 +199,21 @@
                 return true;
             }
         }
-        sound = false;
         if (framing == Framing::frame && frame.letter == 'N')
             log_line("data node %u can't use a frame: %.*s", link.node,
                      static_cast<int>(std::min<std::size_t>(frame.rest.size(), 200)), frame.rest.data());
         else
             log_spoilt(link.node);
-        break;
+        return false;
     }
-    if (!sound) return false;
     link.in = in;
     // Half a frame: with no call out it is none of ours; else it has as long as a connection has to be made.
-    if (link.in.empty() && !link.carried.empty()) time_.due.drop(link.due);
-    if (!link.in.empty() && !link.carried.empty() && link.due == Deadlines::none)
+    if (link.carried.empty()) return link.in.empty();
+    if (link.in.empty())
+        time_.due.drop(link.due);
+    else if (link.due == Deadlines::none)
         time_.due.move(link.due, time_.now() + connect_timeout_, *this, h);
-    return link.in.empty() || !link.carried.empty();
+    return true;
 }
 
 // Ends a link on which comes what can't be read. That was the answer to one leaf call: to the oldest that was
@@ -316,10 +312,14 @@
     if (link->queue.size() >= most_queued) return close(h, Outcome::reset);  // it has long taken nothing
     std::string id;
     write_part_id(id, query.id, shard);
-    Outgoing frame;
-    start_frame(frame.bytes, 'A', id.size());
-    frame.bytes += id;
-    link->queue.push_back(std::move(frame));
+    post(h, 'A', id);
+}
+
+// Queues a frame that holds no calls.
+void NodeLinks::post(Handle h, char letter, std::string_view rest) {
+    std::string& bytes = links_.find(h)->queue.emplace_back().bytes;
+    start_frame(bytes, letter, rest.size());
+    bytes += rest;
     write(h);
 }
 
@@ -329,8 +329,10 @@
     const auto ended =
         std::find_if(link->carried.begin(), link->carried.end(), [call](auto& c) { return c.call == call; });
     if (ended != link->carried.end()) {
-        if (link->past.size() < most_past) link->past.push_back(0);
-        link->past[link->past_at++ % most_past] = ended->mark;
+        if (link->past.size() < most_past)
+            link->past.push_back(ended->mark);
+        else
+            link->past[link->past_at++ % most_past] = ended->mark;
         link->carried.erase(ended);
     }
     idle_if_empty(h);
@@ -388,9 +390,8 @@
     if (const auto of = of_node_.find(link->node); std::erase(of->second, h) > 0 && of->second.empty())
         of_node_.erase(of);
     const auto carried = std::exchange(link->carried, {});
-    for (const Carried& c : carried) {
+    for (const Carried& c : carried)
         owner_.on_call_lost(c.call, written(*link, c, bytes_written) ? outcome : Outcome::connect_failed);
-    }
     link->queue.clear();
     settle(h);
 }
--- a/src/wire/node_links.hpp
+++ b/src/wire/node_links.hpp
@@ -81,7 +81,7 @@
 
   private:
     struct Outgoing {
-        std::uint64_t number = 0;  // of frames with calls; 0 for one that gives a part up
+        std::uint64_t number = 0;  // of frames with calls; 0 for others
         std::vector<LeafPiece> pieces;
         std::string bytes;  // of a frame without calls
     };
@@ -121,6 +121,7 @@
     void on_connected(Handle h, const boost::system::error_code& ec);
     void read(Handle h);
     void write(Handle h);
+    void post(Handle h, char letter, std::string_view rest);
     bool take_frames(Handle h);
     bool written(const Link& link, const Carried& carried, std::size_t bytes_written = SIZE_MAX) const;
     void spoil(Handle h, bool told);
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -4,7 +4,6 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
-#include <optional>
 #include <set>
 
 #include "helpers.hpp"
@@ -399,25 +398,27 @@
 };
 
 struct LinkRig {
-    explicit LinkRig(bool probing = false) { links.emplace(io, time, allow(probing), owner, 3); }
+    explicit LinkRig(bool probing = false) : terms(terms_with(probing)) {}
+
     boost::asio::io_context io{1};
     Nanos now = 1'000'000 * test::ms;
     Timekeeper time{now};
     Owner owner;
-    LinkTerms terms = read_link_terms(test::settings_text);
-    std::optional<NodeLinks> links;
+    const LinkTerms terms;
+    NodeLinks links{io, time, terms, owner, 3};
     StandIn node{io, nullptr};
 
-    const LinkTerms& allow(bool probing) {
-        terms.probing = probing;
-        return terms;
+    static LinkTerms terms_with(bool probing) {
+        LinkTerms t = read_link_terms(test::settings_text);
+        t.probing = probing;
+        return t;
     }
     Handle send(std::uint32_t to, std::uint32_t call, Nanos send_by = Deadlines::never) {
         const auto text = std::make_shared<QueryText>(QueryText{"q" + std::to_string(call), "", ""});
-        owner.links = &*links;
+        owner.links = &links;
         owner.out.insert(call);
         owner.used.push_back(
-            links->send(to, node.address(), {{Handle{call, 1}, text, 0, now + 100 * test::ms, send_by}}, {}));
+            links.send(to, node.address(), {{Handle{call, 1}, text, 0, now + 100 * test::ms, send_by}}, {}));
         return owner.used.back();
     }
     template <typename Happened>
@@ -450,12 +451,12 @@
     for (std::uint32_t call = 0; call < 101; ++call) links.push_back(rig.send(0, call));
     CHECK(links[99] == links[0]);
     CHECK_FALSE(links[100] == links[0]);  // a hundred at once, by the settings
-    CHECK(rig.links->open() == 2);
+    CHECK(rig.links.open() == 2);
     // A node that drains gets nothing of what was not yet written.
-    rig.links->retire(0, true);
+    rig.links.retire(0, true);
     CHECK(rig.owner.lost.size() == 101);
     for (const auto& [call, outcome] : rig.owner.lost) CHECK(outcome == Outcome::moot);
-    rig.until([&] { return rig.links->open() == 0; });
+    rig.until([&] { return rig.links.open() == 0; });
     // Idle: closed before the far side would, and not used from then on.
     const Handle kept = rig.send(1, 200);
     rig.until([&] { return !rig.node.peers.empty() && !rig.node.peers.back()->got.empty(); });
@@ -463,7 +464,7 @@
     rig.now += rig.terms.idle_close - 1;
     rig.time.due.tell(rig.now);
     CHECK_FALSE(rig.send(1, 201) == kept);
-    rig.until([&] { return rig.links->open() == 1; });
+    rig.until([&] { return rig.links.open() == 1; });
     // A connection that is not made in time has carried nothing.
     rig.owner.lost.clear();
     rig.now += rig.terms.connect_timeout;
@@ -550,7 +551,7 @@
     const Handle fourth = rig.send(0, 7);
     CHECK((fourth == second || fourth == third));
     for (const std::uint32_t call : {5U, 6U, 7U}) rig.owner.end(Handle{call, 1});
-    rig.until([&] { return rig.links->open() == 0; });
+    rig.until([&] { return rig.links.open() == 0; });
 }
 
 TEST_CASE("where probes are allowed, a silent connection is given up only if it leaves one unanswered") {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -62,26 +62,24 @@
 TEST_CASE("malformed requests are told apart") {
     const std::string post = "POST /part HTTP/1.1\r\n";
     CHECK(status_of("nonsense\r\n\r\n") == 400);
-    CHECK(status_of(post + "no colon\r\n\r\n") == 400);
-    CHECK(status_of(post + "Content-Length: -1\r\n\r\n") == 400);
-    CHECK(status_of(post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n") == 400);
-    // Two ways to state the length could hide a second request in the first.
-    CHECK(status_of(post + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n") == 400);
-    CHECK(status_of(post + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n") == 400);
-    CHECK(status_of(post + "Transfer-Encoding: gzip\r\n\r\n") == 400);
-    CHECK(status_of(post + "Transfer-Encoding: chunked\r\n\r\nxyz\r\n") == 400);
-    CHECK(status_of(post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") ==
-          400);
-    CHECK(status_of(post + "Content-Length: 1, 1\r\n\r\nx") == 400);
-    CHECK(status_of(post + "Content-Length: 1\r\nContent-Length: 1\r\n\r\nx") == 400);
-    CHECK(status_of(post + "Content-Length: 99999999999999999999\r\n\r\n") == 400);
-    CHECK(status_of(post + "Content-Length : 1\r\n\r\nx") == 400);
-    CHECK(status_of(post + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n") == 400);
-    // Folded lines and bare line feeds read differently elsewhere; of what is said twice, nobody knows which.
-    CHECK(status_of(post + "A: b\r\n Content-Length: 1\r\n\r\n") == 400);
-    CHECK(status_of(post + "A: b\nContent-Length: 1\r\n\r\n") == 400);
     CHECK(status_of("POST /part HTTP/1.1\nA: b\n\n") == 400);
-    CHECK(status_of(post + "X-Request-Id: a\r\nX-Request-Id: b\r\n\r\n") == 400);
+    for (const char* rest :
+         {"no colon\r\n\r\n", "Content-Length: -1\r\n\r\n", "Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
+          // Two ways to state the length could hide a second request in the first.
+          "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n", "Transfer-Encoding: gzip\r\n\r\n",
+          "Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+          "Content-Length: 1, 1\r\n\r\nx", "Content-Length: 1\r\nContent-Length: 1\r\n\r\nx",
+          "Content-Length: 99999999999999999999\r\n\r\n", "Content-Length : 1\r\n\r\nx",
+          "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n",
+          // Folded lines and bare line feeds read differently elsewhere; of what is said twice, nobody knows
+          // which.
+          "A: b\r\n Content-Length: 1\r\n\r\n", "A: b\nContent-Length: 1\r\n\r\n",
+          "X-Request-Id: a\r\nX-Request-Id: b\r\n\r\n"}) {
+        INFO(rest);
+        CHECK(status_of(post + rest) == 400);
+    }
     CHECK(status_of(post + "Content-Length: 65537\r\n\r\n") == 413);
     CHECK(status_of(post + "Transfer-Encoding: chunked\r\n\r\n10001\r\n" + std::string(65537, 'x')) == 413);
     CHECK(status_of(post + "A: " + std::string(9000, 'x') + "\r\n\r\n") == 431);
