A dropped part ends the sends of all its query's parts; the query still gets its answer

A copy of the adapter's input and output (tee around the adapter) showed the part given in batch 6 with its query and three siblings; the query was a marked repeat on trial, so its parts went out one by one. In batch 18 a dropped event named the sibling (a part, not the query), right after its attempt came back full. Ruled out: a kill or init of instance 49 (none after batch 4), an ask shared by two queries (one query with ask 9990), a misparsed record (sizes walk to the end of every batch). Treating the part's dropped as the query's end and saying nothing broke the script test (106 of 998 queries without a final answer), so the query still needs its answer, and its parts may not be sent any more.

At fault: on_dropped in src/router/query_router.cpp matched query ids only. Now a part's id marks every part of its query that is not in as lost; settle then answers from what is in or gives up at once.

--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -267,7 +267,12 @@
 
     void on_timer(std::uint64_t) override { beat_set_ = false; }
 
+    // Named by a part, it ends the sends of all parts of its query, which still gets its final answer.
     void on_dropped(std::uint32_t id) override {
+        if (const std::uint32_t p = part_ids_.find(id); p != none) {
+            for (const std::uint32_t i : queries_[parts_[p].query].parts) parts_[i].lost = !parts_[i].in;
+            return;
+        }
         for (const std::uint32_t i : live_)
             if (queries_[i].id == id && !queries_[i].ended) end(queries_[i]);
     }
