--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -31,9 +31,6 @@
 constexpr Nanos cut_every = second;
 constexpr Nanos climb_every = second / 2;
 constexpr double close_weights = 0.05;
-// Ours: pressure is judged on so many recent parts at least, or on what ended within so long.
-constexpr int least_judged = 20;
-constexpr Nanos judge_within = 4 * second;
 constexpr int widened = 3;
 // Ours.
 constexpr double sum_slack = 2e-5;       // a sum of rounded weights misses its value by less
@@ -506,8 +503,6 @@
                 ended += recent_ended_[recent_[i]];
                 if (i + (recent_.size() + 7) / 8 < recent_.size()) bad += recent_bad_[recent_[i]];
             }
-            // Recent parts are so many at least: a router that sees few, or has just cut p, waits for them.
-            if (ended < least_judged && now_ - looked_at_ < judge_within) return climb();
             for (const std::uint32_t n : recent_) recent_ended_[n] = recent_bad_[n] = 0;
             recent_.clear();
             foreseen_ = foreseen_bad_ = 0;
@@ -521,10 +516,6 @@
             looked_at_ = now_;
             repeats_due_ *= 0.8;
         }
-        climb();
-    }
-
-    void climb() {
         if (!pressed_ && now_ - climbed_at_ >= climb_every) {
             for (Vertical& v : verticals_) v.p = std::min(v.k, v.p + std::max(1.0, p_step * v.k));
             climbed_at_ = now_;
