Parts of one round join the call that already goes to a holder, where a call costs work

Change: Terms takes parts_a_call and call_cost from the settings (defaults 1 and 0 leave the old choice). choose() takes a holder that this round's call already goes to, with room in it, before the next in turn, unless it is slower than the best by more than the call's cost.

--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -103,7 +103,8 @@
   public:
     State(const Terms& t, std::uint64_t seed)
         : over_share_utility_(t.over_share_utility), places_(t.places), width_(t.width),
-          call_cap_(t.call_cap), routers_(std::max(1, t.routers)), may_cancel_(t.may_cancel),
+          call_cap_(t.call_cap), parts_a_call_(t.parts_a_call), call_cost_(static_cast<double>(t.call_cost)),
+          routers_(std::max(1, t.routers)), may_cancel_(t.may_cancel),
           copies_(t.second_copies), advises_(t.retry_after), marks_(t.marks_repeats), step_(t.step),
           margin_(2 * t.step + 3 * ms), max_advice_(t.max_retry_after), ask_within_(t.ask_within),
           cold_from_(t.cold_from), cold_turns_(cold_use * t.tip_multiple), cold_(t.cold), fall_(t.fall),
@@ -128,6 +129,8 @@
         if (now_ == 0) looked_at_ = climbed_at_ = now;
         now_ = now;
         writer_ = &writer;
+        for (const std::uint32_t n : in_call_) in_round_[n] = 0;
+        in_call_.clear();
         while (!taken_at_.empty() && taken_at_.front() <= now_ - budget_window_ + step_)
             taken_at_.pop_front();
         while (!further_at_.empty() && further_at_.front() < now_ - budget_window_ - step_)
@@ -173,7 +176,7 @@
         const std::uint32_t n = nodes_.put(id);
         const auto anew = [&](auto&... arrays) { ((arrays.resize(nodes_.size()), arrays[n] = {}), ...); };
         anew(node_id_, place_, ready_, failing_, started_at_, heard_at_, paused_until_, group_, sampled_at_,
-             took_, ahead_, open_, streak_, recent_ended_, recent_bad_, cold_sent_);
+             took_, ahead_, open_, streak_, recent_ended_, recent_bad_, cold_sent_, in_round_);
         node_id_[n] = id;
         place_[n] = none;
         return n;
@@ -437,13 +440,23 @@
         double best = HUGE_VAL;
         for (const std::uint32_t n : holders)
             if (usable(n)) best = std::min(best, expected(n));
+        // Where a call costs the node work of its own, a holder that this round's call already goes to is
+        // taken before the next in turn, unless it is slower by more than that cost.
+        std::size_t first = holders.size();
         for (std::size_t j = 0; j < holders.size(); ++j) {
             const std::uint32_t n = holders[(turn_[part.shard] + j) % holders.size()];
-            if (!usable(n) || expected(n) > pass_over * best) continue;
-            turn_[part.shard] += static_cast<std::uint32_t>(j) + 1;
-            return n;
+            if (!usable(n)) continue;
+            const bool joins = call_cost_ > 0 && in_round_[n] > 0 && in_round_[n] < parts_a_call_;
+            if (joins && expected(n) <= pass_over * best + call_cost_) {
+                first = j;
+                break;
+            }
+            if (first == holders.size() && expected(n) <= pass_over * best) first = j;
+            if (call_cost_ <= 0 && first < holders.size()) break;
         }
-        return none;
+        if (first == holders.size()) return none;
+        turn_[part.shard] += static_cast<std::uint32_t>(first) + 1;
+        return holders[(turn_[part.shard] - 1) % holders.size()];
     }
 
     bool send(Part& part) {
@@ -453,6 +466,7 @@
         part.calls.push_back({n, now_, open_[n], true, true});
         if (part.out++ > 0) ++copies_out_;
         if (open_[n]++ == 0) busy_.push_back(n);
+        if (in_round_[n]++ == 0) in_call_.push_back(n);
         ++all_open_;
         if (warmth(n) < 1) cold_sent_[n].push_back(now_);
         writer_->deliver(part.id, node_id_[n], queries_[part.query].end_by - now_);
@@ -714,7 +728,9 @@
     std::vector<Vertical> verticals_;
     std::vector<TenantShare> tenants_;
     double over_share_utility_;
-    int places_, width_, call_cap_, routers_;
+    int places_, width_, call_cap_, parts_a_call_;
+    double call_cost_;
+    int routers_;
     bool may_cancel_, copies_, advises_, marks_;
     Nanos step_, margin_, max_advice_, ask_within_;
     double cold_from_, cold_turns_;
@@ -735,7 +751,8 @@
     std::vector<char> ready_, failing_;  // failing: logged as such
     std::vector<Nanos> started_at_, heard_at_, paused_until_, sampled_at_;
     std::vector<double> took_, ahead_;  // what a call took at sampled_at_, with so many of ours ahead of it
-    std::vector<int> open_, streak_;
+    std::vector<int> open_, streak_, in_round_;  // in_round: parts sent this round, in one call
+    std::vector<std::uint32_t> in_call_;         // nodes with a call this round
     std::vector<int> recent_ended_, recent_bad_;  // since the last look at pressure, at the nodes of ...
     std::vector<std::uint32_t> recent_, busy_;    // ... this; busy: with calls of ours out
     std::vector<std::deque<Nanos>> cold_sent_;
--- a/src/terms/terms_text.cpp
+++ b/src/terms/terms_text.cpp
@@ -95,6 +95,8 @@
     t.width = std::min(whole(extra, "width", 1), t.places);
     t.shards = whole(extra, "ranges", 1);
     t.call_cap = whole(limits, "send_cap", 1);
+    t.parts_a_call = std::max(1, static_cast<int>(number(extra, "parts_a_call", 1)));
+    t.call_cost = span(extra, "call_cost", 0);
     t.may_cancel = flag(limits, "may_cancel");
     t.second_copies = flag(limits, "second_copies");
     t.retry_after = flag(limits, "retry_after");
