--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -441,10 +441,8 @@
         for (const std::uint32_t n : holders)
             if (usable(n)) best = std::min(best, expected(n));
         // Where a call costs the node work of its own, a holder that this round's call already goes to is
-        // taken before the next in turn, unless it is slower by more than that cost; else the one that holds
-        // most of the query's parts still to send, so that they may follow in the same call.
+        // taken before the next in turn, unless it is slower by more than that cost.
         std::size_t first = holders.size();
-        int most = -1;
         for (std::size_t j = 0; j < holders.size(); ++j) {
             const std::uint32_t n = holders[(turn_[part.shard] + j) % holders.size()];
             if (!usable(n)) continue;
@@ -453,29 +451,14 @@
                 first = j;
                 break;
             }
-            if (expected(n) > pass_over * best) continue;
-            if (call_cost_ <= 0) {
-                first = j;
-                break;
-            }
-            if (const int held = still_to_send(queries_[part.query], place_[n]); held > most) most = held, first = j;
+            if (first == holders.size() && expected(n) <= pass_over * best) first = j;
+            if (call_cost_ <= 0 && first < holders.size()) break;
         }
         if (first == holders.size()) return none;
         turn_[part.shard] += static_cast<std::uint32_t>(first) + 1;
         return holders[(turn_[part.shard] - 1) % holders.size()];
     }
 
-    // Parts of the query that are to go out and that a node at this place holds.
-    int still_to_send(const Query& q, std::uint32_t place) const {
-        int held = 0;
-        for (const std::uint32_t i : q.parts) {
-            const Part& p = parts_[i];
-            held += p.planned && p.calls.empty() && !p.in && !p.lost &&
-                    (place + places_ - p.shard % places_) % places_ < static_cast<std::uint32_t>(width_);
-        }
-        return held;
-    }
-
     bool send(Part& part) {
         const std::uint32_t n = choose(part);
         if (n == none) return false;
