--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -28,7 +28,6 @@
 // The design's figures. Pressure share, step sizes and margin are open; these are the page's own values.
 constexpr double pressure_share = 0.05;
 constexpr double p_step = 0.25;  // of k, for a cut and for a climb
-constexpr double climb_step = 0.1;  // of k, each climb_every
 constexpr Nanos cut_every = second;
 constexpr Nanos climb_every = second / 2;
 constexpr double close_weights = 0.05;
@@ -532,7 +531,7 @@
             repeats_due_ *= 0.8;
         }
         if (!pressed_ && now_ - climbed_at_ >= climb_every) {
-            for (Vertical& v : verticals_) v.p = std::min(v.k, v.p + std::max(1.0, climb_step * v.k));
+            for (Vertical& v : verticals_) v.p = std::min(v.k, v.p + std::max(1.0, p_step * v.k));
             climbed_at_ = now_;
         }
     }
