--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -179,8 +179,6 @@
              took_, ahead_, open_, streak_, recent_ended_, recent_bad_, cold_sent_, in_round_);
         node_id_[n] = id;
         place_[n] = none;
-        heard_by_.resize(nodes_.size() * verticals_.size());
-        std::fill_n(heard_by_.begin() + n * verticals_.size(), verticals_.size(), 0);
         return n;
     }
 
@@ -308,7 +306,7 @@
         if (e.outcome == full || e.outcome == connect_failed || e.outcome == moot) call.may_have_run = false;
         const double took = static_cast<double>(e.took);
         if (e.outcome != moot && e.outcome != cancelled) {
-            heard_at_[n] = heard_by_[n * verticals_.size() + queries_[part.query].vertical] = now_;
+            heard_at_[n] = now_;
             count(n, (e.outcome == full || e.outcome == timeout) && !part.late);
         }
         if (e.outcome == ok) {
@@ -652,14 +650,9 @@
             } else if (allowed && copies_ && part.out == 1) {
                 // A second copy, for a part that is overdue, only while few are out and nothing presses.
                 const LeafCall& call = part.calls.back();
-                // Silent to this vertical alone: it answers others that were sent later.
-                const std::uint32_t n = call.node;
-                const bool deaf = heard_at_[n] > call.sent_at &&
-                                  heard_by_[n * verticals_.size() + q.vertical] <= call.sent_at &&
-                                  now_ - call.sent_at > copy_after * took(n);
                 const bool overdue =
-                    (now_ - call.sent_at > copy_after * usual() && (silent(n, copy_after) || deaf)) ||
-                    !ready_[n];
+                    (now_ - call.sent_at > copy_after * usual() && silent(call.node, copy_after)) ||
+                    !ready_[call.node];
                 if (overdue && few_silent_ && !pressed_ && best_holder(part.shard).second < 2 * service_ &&
                     copies_out_ < copy_share * all_open_ + 1)
                     further_.push_back(i);
@@ -757,7 +750,6 @@
     std::vector<std::uint32_t> node_id_, place_, group_;
     std::vector<char> ready_, failing_;  // failing: logged as such
     std::vector<Nanos> started_at_, heard_at_, paused_until_, sampled_at_;
-    std::vector<Nanos> heard_by_;       // per node and vertical: when a call of it ended there last
     std::vector<double> took_, ahead_;  // what a call took at sampled_at_, with so many of ours ahead of it
     std::vector<int> open_, streak_, in_round_;   // in_round: parts sent this round, in one call
     std::vector<std::uint32_t> in_call_;          // nodes with a call this round
