--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -9,8 +9,7 @@
 namespace {
 
 constexpr Nanos ms = 1'000'000;
-// Of the descriptors, so many are for what is no connection, and half of the rest for data nodes: a fleet of
-// hundreds of nodes, each met by most queries, needs a connection to each at once.
+// Of the descriptors, so many are for what is no connection, and a third of the rest for data nodes.
 constexpr std::size_t other_descriptors = 16;
 // So long after SIGTERM new connections may still come, as the platform's page has it (0.4 s, and its slack).
 constexpr Nanos arrivals_after_stop = 450 * ms;
@@ -18,7 +17,7 @@
 // The loop wakes at least so often, to know of a stall.
 constexpr Nanos heartbeat = 100 * ms;
 
-std::size_t links_of(const Launch& launch) { return (launch.sockets - other_descriptors) / 2; }
+std::size_t links_of(const Launch& launch) { return (launch.sockets - other_descriptors) / 3; }
 std::size_t clients_of(const Launch& launch) { return launch.sockets - other_descriptors - links_of(launch); }
 
 }  // namespace
