Operators may state what a call carries in a calls block; migrate leaves it as a comment

Change: a 'calls' block in the operators' file (parts 1 to 1024, cost a time up to 1m); where stated, it holds over the settings for the module and the network code alike (follow_calls, in follow_operators); not stated, the settings stand, so today's behaviour is kept. tealcart migrate appends such a block with the new settings' values, as a comment, where calls cost work.

--- a/deploy/tealcart.hcl
+++ b/deploy/tealcart.hcl
@@ -22,6 +22,11 @@
 #   distrust      = "60s"
 # }
 
+# calls {               # where stated, it holds over the settings' extra.parts_a_call and extra.call_cost
+#   parts = 8
+#   cost  = "45ms"
+# }
+
 # control {                        # for `tealcart control` alone; docs/control.md
 #   listen     = "127.0.0.1:18000"
 #   node_limit = 64
--- a/src/service/launch.cpp
+++ b/src/service/launch.cpp
@@ -70,6 +70,7 @@
 }
 
 void follow_operators(Launch& launch, OperatorTerms operators) {
+    follow_calls(operators.calls, launch.terms, launch.link_terms);
     launch.phases = phases_by_vertical(operators, launch.terms, launch.link_terms.verticals);
     launch.operators = std::move(operators);
 }
--- a/src/terms/migration.cpp
+++ b/src/terms/migration.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "terms/block_reader.hpp"
 #include "terms/operator_terms.hpp"
 
 namespace tealcart {
@@ -85,6 +86,14 @@
         m.text += lines[l];
         m.text += '\n';
     }
+    const bool has_calls =
+        std::any_of(root.blocks.begin(), root.blocks.end(), [](auto& b) { return b.type == "calls"; });
+    if (!has_calls && (terms.parts_a_call > 1 || terms.call_cost > 0))
+        m.text +=
+            "\n# As the new deployment's settings state; stated here, they hold whatever the settings say.\n"
+            "# calls {\n#   parts = " +
+            std::to_string(terms.parts_a_call) + "\n#   cost  = \"" + write_span(terms.call_cost) +
+            "\"\n# }\n";
     return m;
 }
 
--- a/src/terms/operator_terms.cpp
+++ b/src/terms/operator_terms.cpp
@@ -77,6 +77,15 @@
         of.finish();
     }
     if (const HclBlock* control = in.only_block("control")) terms.control = read_control(*control, mistakes);
+    if (const HclBlock* calls = in.only_block("calls")) {
+        BlockReader of(*calls, mistakes);
+        of.no_label();
+        CallTerms& c = terms.calls;
+        c.stated = true;
+        c.parts = static_cast<int>(of.whole("parts", c.parts, 1, 1024));
+        c.cost = of.span("cost", c.cost, 0, 60 * second);
+        of.finish();
+    }
     for (const HclBlock* block : in.blocks("two_phase")) {
         StatedPhases stated = read_phases(*block, mistakes);
         for (const StatedPhases& other : terms.phases)
@@ -92,6 +101,12 @@
     throw HclMistakes(source, std::move(mistakes));
 }
 
+void follow_calls(const CallTerms& calls, Terms& terms, LinkTerms& link) {
+    if (!calls.stated) return;
+    terms.parts_a_call = link.parts_a_call = calls.parts;
+    terms.call_cost = calls.cost;
+}
+
 OperatorTerms read_operator_file(const std::string& path) {
     std::ifstream file(path);
     std::string text{std::istreambuf_iterator<char>(file), {}};
--- a/src/terms/operator_terms.hpp
+++ b/src/terms/operator_terms.hpp
@@ -21,6 +21,13 @@
     LogLevel level = LogLevel::info;
 };
 
+// What a call to a data node carries, where the operators state it in place of the platform's settings.
+struct CallTerms {
+    bool stated = false;
+    int parts = 1;   // parts one call carries at most
+    Nanos cost = 0;  // work a call costs a data node beside its parts
+};
+
 struct StatedPhases {
     std::string vertical;
     HclAt at;
@@ -32,9 +39,13 @@
     LogTerms log;
     MemoryTerms memory;
     ControlTerms control;
+    CallTerms calls;
     std::vector<StatedPhases> phases;
 };
 
+// The calls block, where stated, over what the settings say; the settings are left as they are otherwise.
+void follow_calls(const CallTerms& calls, Terms& terms, LinkTerms& link);
+
 // Throws HclMistakes with all that is wrong.
 OperatorTerms read_operator_terms(std::string_view text, std::string_view source);
 // The same of a file; throws Malformed where it can't be read.
--- a/tests/hcl_test.cpp
+++ b/tests/hcl_test.cpp
@@ -180,3 +180,28 @@
     wrong.replace(wrong.find("\"parts_a_call\": 2"), 17, "\"parts_a_call\": 0.5");
     CHECK_THROWS_AS(read_terms(wrong), Malformed);
 }
+
+TEST_CASE("the operators may state what a call carries; a wrong value is told by line and column") {
+    const OperatorTerms stated = read_operator_terms("calls {\n  parts = 8\n  cost = \"45ms\"\n}\n", "f");
+    Terms terms = read_terms(test::settings_text);
+    LinkTerms link = read_link_terms(test::settings_text);
+    follow_calls(stated.calls, terms, link);
+    CHECK(terms.parts_a_call == 8);
+    CHECK(link.parts_a_call == 8);
+    CHECK(terms.call_cost == 45 * test::ms);
+    // Not stated: the settings stand.
+    Terms plain = read_terms(test::settings_text);
+    follow_calls(read_operator_terms("", "f").calls, plain, link);
+    CHECK(plain.parts_a_call == 2);
+    CHECK(wrong_in("calls {\n  parts = 0\n}\n").find("f:2:") == 0);
+    CHECK(wrong_in("calls {\n  cost = 45\n}\n").find("f:2:") == 0);
+}
+
+TEST_CASE("a new deployment whose calls cost work gets a calls block to state, left as a comment") {
+    std::string costly = test::settings_text;
+    costly.replace(costly.find("\"parts_a_call\": 2"), 17, "\"parts_a_call\": 8, \"call_cost\": 45.0");
+    const Migration m = migrate("log { level = \"warn\" }\n", "old.hcl", costly);
+    CHECK(m.text.find("#   parts = 8") != std::string::npos);
+    CHECK(m.text.find("#   cost  = \"45ms\"") != std::string::npos);
+    CHECK(read_operator_terms(m.text, "new.hcl").calls.stated == false);
+}
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -7,6 +7,8 @@
 #include <set>
 
 #include "helpers.hpp"
+#include "terms/migration.hpp"
+#include "terms/operator_terms.hpp"
 
 using namespace tealcart;
 using tealcart::test::dial;
@@ -73,10 +75,12 @@
     std::unique_ptr<Service> service;
     std::string known, lookout = discovery.address();  // what the configuration says now
     std::size_t sockets;
+    std::string operators;  // the operators' file, if any
     int reads = 0;
 
     // With so many nodes, in turn at places 0 and 1; both hold every shard.
-    explicit World(int count = 2, std::size_t descriptors = 256) : sockets(descriptors) {
+    explicit World(int count = 2, std::size_t descriptors = 256, std::string file = "")
+        : sockets(descriptors), operators(std::move(file)) {
         for (int n = 0; n < count; ++n) {
             nodes.push_back(std::make_unique<DataNode>(io));
             known += (n > 0 ? "," : "") + entry(n, "up");
@@ -89,6 +93,7 @@
                                   R"(},"known":{"generation":4,"reset":true,"instances":[)" + known +
                                   "]},\"settings\":" + test::settings_text + "}");
         made.listen.port = 0;  // a free one
+        if (!operators.empty()) follow_operators(made, read_operator_terms(operators, "f"));
         return made;
     }
     std::string entry(int n, const std::string& state) const {
@@ -790,3 +795,29 @@
     fails(without("\"extra\"", "\"other\""), "lack 'extra'");
     fails(without("\"connect_timeout\"", "\"other\""), "lack 'connect_timeout'");
 }
+
+TEST_CASE(
+    "a file carried over to the new shape is served: both parts of a query go to one node in one call") {
+    const std::string old_file = "log { level = \"warn\" }\ntwo_phase \"gone\" { share = 0.2 }\n";
+    const Migration m = migrate(old_file, "old.hcl", test::settings_text);
+    REQUIRE(m.left.size() == 1);
+    const auto nodes_asked = [](const std::string& file) {
+        World world(2, 256, file);
+        std::set<std::string> met;
+        for (int i = 0; i < 6; ++i) {
+            const std::size_t before = world.calls().size();
+            auto client = world.client();
+            client->send(query("q" + std::to_string(i)));
+            world.until([&] { return world.calls().size() >= before + 2; });
+            for (std::size_t n = 0; n < world.nodes.size(); ++n)
+                for (const Call& call : world.nodes[n]->calls)
+                    if (call.id.rfind("q" + std::to_string(i) + ".", 0) == 0)
+                        met.insert(std::to_string(i) + ":" + std::to_string(n));
+            world.answer(*client);
+        }
+        return met.size();
+    };
+    // Six queries of two parts: one node each where calls cost work, and more than six nodes met without.
+    CHECK(nodes_asked(m.text + "calls {\n  parts = 2\n  cost = \"40ms\"\n}\n") == 6);
+    CHECK(nodes_asked(m.text) > 6);
+}
