--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -319,12 +319,13 @@
         } else if (e.outcome == cancelled && took > this->took(n)) {
             sample(n, took, call.ahead);  // it would have taken longer still
         }
+        if (e.outcome == full) paused_until_[n] = std::max(paused_until_[n], now_ + first_pause);
         // A call ended by us after a long wait, with not a word from the node in all that time, is as good as
         // timed out: else a hung node looks fresh each time its calls are called off.
         const bool in_vain =
             e.outcome == cancelled && heard_at_[n] <= call.sent_at && took > copy_after * usual();
         if (in_vain || e.outcome == error || e.outcome == timeout || e.outcome == connect_failed ||
-            e.outcome == reset || e.outcome == full)
+            e.outcome == reset)
             fault(n);
         Query& q = queries_[part.query];
         q.sound |= e.outcome == ok;
