--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -395,7 +395,7 @@
         std::pair<std::uint32_t, double> best{none, HUGE_VAL};
         for (int j = 0; j < width_; ++j)
             for (const std::uint32_t n : at_place_[(shard + j) % places_])
-                if (const double o = ready_[n] ? expected(n) : HUGE_VAL; o < best.second) best = {n, o};
+                if (const double o = ready_[n] ? outlook(n) : HUGE_VAL; o < best.second) best = {n, o};
         return best;
     }
 
