migrate states the leaf-call budget with plain numbers

Cause: the budget line cut the text of doubles at four characters ('10.0 + 0.10 a request within 5e+03 ms').

--- a/src/terms/migration.cpp
+++ b/src/terms/migration.cpp
@@ -61,10 +61,12 @@
     m.stated.push_back(std::string("the list of data nodes: ") +
                        (terms.discovery == Discovery::ask ? "asked for" : "pushed"));
     m.stated.push_back("drains kept within " + ms_text(terms.drain_grace));
-    if (terms.budgeted)
-        m.stated.push_back("further leaf calls: " + std::to_string(terms.budget_free).substr(0, 4) + " + " +
-                           std::to_string(terms.resend_ratio).substr(0, 4) + " a request within " +
-                           ms_text(terms.budget_window));
+    if (terms.budgeted) {
+        char budget[96];
+        std::snprintf(budget, sizeof budget, "further leaf calls: %g + %g a request within ",
+                      terms.budget_free, terms.resend_ratio);
+        m.stated.push_back(budget + ms_text(terms.budget_window));
+    }
 
     const auto lines = split_lines(old_text);
     const auto starts = first_lines(root);
