A part turned away full is asked again no sooner than its node's pause ends

At fault: ask_further() in src/router/query_router.cpp queued a part with no call out for a further leaf call in the same round as its full outcome. Now such a part waits the node's first pause (250 ms, the pause that full already set) before it is asked again.

A test plays a full outcome and finds no send before the pause ends and one after; it fails without the change.

--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -72,6 +72,7 @@
     double weight = 0, cost = 1;  // cost against the vertical's usual
     std::vector<LeafCall> calls;
     int out = 0, spent = 0;  // spent: leaf calls of earlier legs, which count toward the cap
+    Nanos held_to = 0;       // turned away unseen: asked again no sooner
     bool planned = false, in = false, lost = false, late = false, late_likely = false;
 };
 
@@ -320,6 +321,7 @@
             sample(n, took, call.ahead);  // it would have taken longer still
         }
         if (e.outcome == full) paused_until_[n] = std::max(paused_until_[n], now_ + first_pause);
+        if (e.outcome == full) part.held_to = now_ + first_pause;
         // A call ended by us after a long wait, with not a word from the node in all that time, is as good as
         // timed out: else a hung node looks fresh each time its calls are called off.
         const bool in_vain =
@@ -645,7 +647,7 @@
             const bool allowed =
                 part.spent + static_cast<int>(part.calls.size()) < call_cap_ && repeat_allowed(q, part);
             if (part.out == 0) {
-                if (allowed) further_.push_back(i);
+                if (allowed && now_ >= part.held_to) further_.push_back(i);
                 part.lost = !allowed;
             } else if (allowed && copies_ && part.out == 1) {
                 // A second copy, for a part that is overdue, only while few are out and nothing presses.
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -348,3 +348,17 @@
     const Kept later = play(router, start + 20 * ms, [](ArrivalHandler&) {});
     CHECK(later.of(Sent::deliver).empty());
 }
+
+TEST_CASE("a part turned away full is asked again only once its node's pause has ended") {
+    QueryRouter router = started();
+    const auto calls = ask(router, start, 10, 1, {1});
+    REQUIRE(calls.size() == 1);
+    const Kept at_once = play(router, start + 10 * ms, [&](ArrivalHandler& h) {
+        h.on_leaf_end({calls[0].id, calls[0].node, 0, Outcome::full, 1 * ms});
+    });
+    CHECK(at_once.of(Sent::deliver).empty());
+    CHECK(play(router, start + 100 * ms, nothing).of(Sent::deliver).empty());
+    const auto later = play(router, start + 270 * ms, nothing).of(Sent::deliver);
+    REQUIRE(later.size() == 1);
+    CHECK(later[0].id == calls[0].id);
+}
