One block for what a full outcome does to its node and its part

Cause: a last reading of the change found two lines in a row on the same condition in on_leaf_end. Change: one block, behaviour as it was.

--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -320,8 +320,10 @@
         } else if (e.outcome == cancelled && took > this->took(n)) {
             sample(n, took, call.ahead);  // it would have taken longer still
         }
-        if (e.outcome == full) paused_until_[n] = std::max(paused_until_[n], now_ + first_pause);
-        if (e.outcome == full) part.held_to = now_ + first_pause;
+        if (e.outcome == full) {  // the node and the part both wait out the first pause
+            paused_until_[n] = std::max(paused_until_[n], now_ + first_pause);
+            part.held_to = now_ + first_pause;
+        }
         // A call ended by us after a long wait, with not a word from the node in all that time, is as good as
         // timed out: else a hung node looks fresh each time its calls are called off.
         const bool in_vain =
