A leaf call for which no descriptor is free waits for one in place of ending as a failed connect

Lines at fault: Bridge::send_calls ended such a call as `connect_failed`, which paused a sound node (fault in the module) and used up one of the part's three calls. Change: a link that finds no descriptor stands in a line (NodeLinks::waiting_) with what it carries, unwritten, and is opened when one that is idle or closes makes room; what is taken back leaves the line. A test on sockets holds it (a fourth node with three descriptors).

--- a/src/service/bridge.cpp
+++ b/src/service/bridge.cpp
@@ -286,10 +286,6 @@
         for (const Handle h : sent) {
             LeafCall* call = calls_.find(h);
             if (call == nullptr) continue;
-            if (link == Handle{}) {
-                call_ended(h, Outcome::connect_failed);
-                continue;
-            }
             call->link = link;
             queries_.find(call->query)->parts[call->part].links.push_back(link);
         }
--- a/src/wire/node_links.cpp
+++ b/src/wire/node_links.cpp
@@ -69,9 +69,8 @@
     if (chosen == Handle{} && silent_links >= 2) chosen = fallback;
     Link* link = links_.find(chosen);
     if (link == nullptr) {
-        chosen = open_link(node, address, phased);
+        chosen = add_link(node, address, phased);
         link = links_.find(chosen);
-        if (link == nullptr) return {};
     }
     if (link->up) time_.due.drop(link->due);  // not idle any more
     ++frames_;
@@ -79,6 +78,10 @@
         link->carried.push_back({piece.call, frames_, mark_of(piece.query->id, piece.shard, piece.leg)});
     link->queue.push_back({frames_, std::move(pieces), {}});
     write(chosen);
+    const bool were_waiting = waiting_.size() > 1;
+    open_waiting();
+    if (!waiting_.empty() && !were_waiting)
+        log_line("%zu connections to data nodes are open: leaf calls wait for one", opened_);
     return chosen;
 }
 
@@ -126,38 +129,57 @@
     return frames < calls_a_link_;
 }
 
-Handle NodeLinks::open_link(std::uint32_t node, const std::string& address, bool phased) {
-    if (links_.used() >= most_) {
-        Handle idle;
-        links_.each([&idle](Handle h, const Link& link) {
-            if (link.up && !link.closed && link.carried.empty()) idle = h;
-        });
-        close(idle, Outcome::reset);
-        if (links_.used() >= most_) {
-            log_line("%zu connections to data nodes are open: none left for a leaf call", links_.used());
-            return {};
-        }
-    }
-    const auto to = read_host_port(address);
-    error_code ec;
-    const auto host = boost::asio::ip::make_address(to ? to->host : "", ec);
-    if (ec) return {};
+// A link to be opened once one of the descriptors is free for it, in the order in which they are asked for.
+// Until then what it carries waits unwritten, as on one that is being made. Guards against blaming nodes, and
+// using up leaf calls, for want of a descriptor of our own.
+Handle NodeLinks::add_link(std::uint32_t node, std::string address, bool phased) {
     const Handle h = links_.take(io_);
     Link& link = *links_.find(h);
     link.node = node;
+    link.address = std::move(address);
     link.phased = phased;
+    of_node_[node].push_back(h);
+    waiting_.push_back(h);
+    return h;
+}
+
+// Opens waiting links while there are descriptors, at need those of idle ones.
+void NodeLinks::open_waiting() {
+    if (opening_) return;  // a link that is closed here leaves its descriptor to the loop below
+    opening_ = true;
+    while (!waiting_.empty()) {
+        if (opened_ >= most_) {
+            Handle idle;
+            links_.each([&idle](Handle h, const Link& link) {
+                if (link.up && !link.closed && link.carried.empty()) idle = h;
+            });
+            close(idle, Outcome::reset);
+            if (opened_ >= most_) break;
+        }
+        const Handle h = waiting_.front();
+        waiting_.pop_front();
+        if (!open(h)) close(h, Outcome::connect_failed);
+    }
+    opening_ = false;
+}
+
+bool NodeLinks::open(Handle h) {
+    Link& link = *links_.find(h);
+    const auto to = read_host_port(link.address);
+    error_code ec;
+    const auto host = boost::asio::ip::make_address(to ? to->host : "", ec);
+    if (ec) return false;
     link.socket.open(host.is_v6() ? tcp::v6() : tcp::v4(), ec);
     if (ec) {
         log_line("no socket for a data node: %s", ec.message().c_str());
-        links_.give_back(h);
-        return {};
+        return false;
     }
+    ++opened_;
     link.socket.set_option(tcp::no_delay(true), ec);
-    of_node_[node].push_back(h);
     time_.due.move(link.due, time_.now() + connect_timeout_, *this, h);
     ++link.operations;
     link.socket.async_connect({host, to->port}, [this, h](const error_code& e) { on_connected(h, e); });
-    return h;
+    return true;
 }
 
 void NodeLinks::on_connected(Handle h, const error_code& ec) {
@@ -396,11 +418,16 @@
 
 void NodeLinks::idle_if_empty(Handle h) {
     Link& link = *links_.find(h);
-    if (!link.up || link.closed || !link.carried.empty()) return;
+    if (link.closed || !link.carried.empty()) return;
+    if (!link.up) {
+        if (std::find(waiting_.begin(), waiting_.end(), h) != waiting_.end()) close(h, Outcome::moot);
+        return;
+    }
     if (!link.in.empty() || silent(link) || (link.retired && !link.writing && link.queue.empty()))
         return close(h, Outcome::reset);
     link.unheard_since = 0;
     time_.due.move(link.due, link.retired ? time_.now() : time_.now() + idle_, *this, h);
+    open_waiting();
 }
 
 void NodeLinks::on_due(Handle h, std::uint64_t) {
@@ -418,11 +445,13 @@
         Link& link = *links_.find(h);
         link.retired = true;
         if (leaving) lose_unwritten(link, [](const LeafPiece&) { return true; });
+        if (links_.find(h) == nullptr) continue;  // it waited, and for nothing now
         if (!link.closed && link.carried.empty()) link.up ? idle_if_empty(h) : close(h, Outcome::moot);
     }
 }
 
 void NodeLinks::close_all() {
+    opening_ = true;  // none after these
     links_.each([this](Handle h, Link&) { close(h, Outcome::reset); });
 }
 
@@ -442,7 +471,9 @@
     link->closed = true;
     time_.due.drop(link->due);
     error_code ec;
+    opened_ -= link->socket.is_open();
     link->socket.close(ec);
+    std::erase(waiting_, h);
     if (const auto of = of_node_.find(link->node); std::erase(of->second, h) > 0 && of->second.empty())
         of_node_.erase(of);
     const auto carried = std::exchange(link->carried, {});
@@ -450,6 +481,7 @@
         owner_.on_call_lost(c.call, written(*link, c, bytes_written) ? outcome : Outcome::connect_failed);
     link->queue.clear();
     settle(h);
+    open_waiting();
 }
 
 void NodeLinks::settle(Handle h) {
--- a/src/wire/node_links.hpp
+++ b/src/wire/node_links.hpp
@@ -58,8 +58,8 @@
 class CallSender {
   public:
     virtual ~CallSender() = default;
-    // Queues one frame for a node, on a connection other than those to avoid; a new one if none has room. No
-    // handle: none could be had, nothing was sent.
+    // Queues one frame for a node, on a connection other than those to avoid; a new one if none has room.
+    // Where no descriptor is free it waits for one.
     virtual Handle send(std::uint32_t node, const std::string& address, std::vector<LeafPiece> pieces,
                         std::span<const Handle> avoid) = 0;
     // Takes a leaf call back whose frame has not begun to be written. False: it may have run.
@@ -87,7 +87,8 @@
     void retire(std::uint32_t node, bool leaving) override;
     void close_all();
 
-    std::size_t open() const { return links_.used(); }
+    std::size_t open() const { return opened_; }
+    std::size_t waiting() const { return waiting_.size(); }
     void on_due(Handle link, std::uint64_t what) override;
 
   private:
@@ -106,6 +107,7 @@
 
         boost::asio::ip::tcp::socket socket;
         std::uint32_t node = 0;
+        std::string address;
         // Frames in two phases have links of their own: a node that doesn't speak them may close one on them,
         // and no other call is to be lost with it. Heard: an answer in two phases has come on it.
         bool phased = false, heard = false;
@@ -126,7 +128,9 @@
         Deadlines::Ticket due = Deadlines::none;
     };
 
-    Handle open_link(std::uint32_t node, const std::string& address, bool phased);
+    Handle add_link(std::uint32_t node, std::string address, bool phased);
+    void open_waiting();
+    bool open(Handle h);
     std::vector<Handle> of_node(std::uint32_t node) const;
     bool room(const Link& link) const;
     bool silent(const Link& link) const;
@@ -155,6 +159,9 @@
     LinkOwner& owner_;
     Slots<Link> links_;
     std::unordered_map<std::uint32_t, std::vector<Handle>> of_node_;  // of nodes that have any
+    std::deque<Handle> waiting_;  // for a descriptor; each carries a leaf call
+    std::size_t opened_ = 0;      // sockets
+    bool opening_ = false;
     std::uint64_t frames_ = 0;
 };
 
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -450,6 +450,35 @@
     CHECK(rig.node.peers[0]->got == frame('R', "q2.0 0 d=100 0\n"));
 }
 
+TEST_CASE("a leaf call for which there is no descriptor waits for one, and blames no node") {
+    // Guards wide queries at routers with fewer descriptors than data nodes: such calls ended as failed
+    // connects, which paused sound nodes and used up the part's calls.
+    LinkRig rig;  // three connections at most
+    for (std::uint32_t node = 0; node < 3; ++node) rig.send(node, node + 1);
+    const Handle fourth = rig.send(3, 4), fifth = rig.send(4, 5);
+    rig.send(5, 6);
+    CHECK(rig.links.open() == 3);
+    CHECK(rig.links.waiting() == 3);
+    rig.until([&] { return rig.node.peers.size() == 3 && !rig.node.peers[2]->got.empty(); });
+    CHECK(rig.owner.lost.empty());
+    // What is taken back, or waits for a node that leaves, was never sent and leaves the line.
+    CHECK(rig.links.withdraw(fourth, Handle{4, 1}));
+    rig.owner.end(Handle{4, 1});
+    rig.links.retire(5, true);
+    CHECK(rig.owner.lost == std::vector{std::pair(Handle{6, 1}, Outcome::moot)});
+    CHECK(rig.links.waiting() == 1);
+    // A connection that carries nothing any more makes room.
+    rig.owner.end(Handle{2, 1});
+    CHECK(rig.links.waiting() == 0);
+    CHECK(rig.links.open() == 3);
+    rig.until([&] { return rig.node.peers.size() == 4 && !rig.node.peers[3]->got.empty(); });
+    CHECK(rig.node.peers[3]->got == frame('R', "q5.0 0 d=100 0\n"));
+    CHECK(rig.send(4, 7) == fifth);
+    CHECK(rig.owner.lost.size() == 1);
+    rig.links.close_all();
+    CHECK(rig.links.open() == 0);
+}
+
 TEST_CASE(
     "a connection carries what the deployment lets it, ends in time when idle, and leaves when its node "
     "does") {
