Pressure seen by routers with thin traffic: spread bad outcomes count, and it lasts till disproved

Lines at fault, all in the module: keep_pressure left the worst eighth of the nodes out, which is all bad outcomes of a router that asks a hundred nodes once; it took two good parts of a small query for the end of pressure; p did not fall through a silence but climbed back in 2 s, before the next query; a node that failed was forgotten as soon as its pause ended; copies were made only at replicas at rest. Change: one bad outcome at each of the worst eighth counts; a look needs as many parts as can show one in twenty, and what it found holds until the next, p moving by its steps meanwhile; the share of a node's calls that failed fades over 20 s and lengthens what is expected of it; the last tenth of a query that needs every part may be copied to a holder that would be back in time. Three tests fail without it.

--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -2,9 +2,8 @@
 //
 // The caller makes one QueryRouter for each life of a router and calls round() once a round with all that
 // came in: the on_... handlers only note it. Then it decides, in this order: pressure and p, answers and
-// early rejections, first leaf calls, further leaf calls. Nothing is read but the arguments; the same rounds
-// give the same decisions. docs/design.md says when each departure acts, docs/on-call.md explains the log
-// lines.
+// early rejections, first leaf calls, further leaf calls. The same rounds give the same decisions.
+// docs/design.md says when each departure acts, docs/on-call.md explains the log lines.
 
 #include "router/query_router.hpp"
 
@@ -46,8 +45,7 @@
 constexpr int most_doublings = 3;
 constexpr double fade = 20 * second;       // what was seen so long ago counts for a third
 constexpr double news_after = 6 * second;  // a sample counts for more where the last one is as old
-// A router's slice of a tenant's traffic is thin and uneven: so many times its even part, and at least so
-// many queries at once, are no sign that the tenant is over its share.
+// A router's slice of a tenant's traffic is thin and uneven: so much more, and so many at once, are no sign.
 constexpr double slice_leeway = 1.5;
 constexpr double least_share = 4;
 constexpr Nanos trial_after = 5 * second;  // so soon after a break a repeat goes out part by part
@@ -127,7 +125,7 @@
     }
 
     void round(Nanos now, Arrivals& arrivals, DecisionWriter& writer) {
-        if (now_ == 0) looked_at_ = climbed_at_ = now;
+        if (now_ == 0) looked_at_ = moved_at_ = now;
         now_ = now;
         writer_ = &writer;
         for (const std::uint32_t n : in_call_) in_round_[n] = 0;
@@ -177,7 +175,7 @@
         const std::uint32_t n = nodes_.put(id);
         const auto anew = [&](auto&... arrays) { ((arrays.resize(nodes_.size()), arrays[n] = {}), ...); };
         anew(node_id_, place_, ready_, failing_, started_at_, heard_at_, paused_until_, group_, sampled_at_,
-             took_, ahead_, open_, streak_, recent_ended_, recent_bad_, cold_sent_, in_round_);
+             took_, ahead_, fails_, open_, streak_, recent_ended_, recent_bad_, cold_sent_, in_round_);
         node_id_[n] = id;
         place_[n] = none;
         return n;
@@ -326,11 +324,12 @@
         }
         // A call ended by us after a long wait, with not a word from the node in all that time, is as good as
         // timed out: else a hung node looks fresh each time its calls are called off.
-        const bool in_vain =
-            e.outcome == cancelled && heard_at_[n] <= call.sent_at && took > copy_after * usual();
-        if (in_vain || e.outcome == error || e.outcome == timeout || e.outcome == connect_failed ||
-            e.outcome == reset)
-            fault(n);
+        const bool failed = e.outcome == cancelled
+                                ? heard_at_[n] <= call.sent_at && took > copy_after * usual()
+                                : e.outcome != ok && e.outcome != full && e.outcome != moot;
+        if (failed) fault(n);
+        if (failed || e.outcome == ok)
+            fails_[n] = {failure_share(n) + (failed - failure_share(n)) * news(fails_[n].at), now_};
         Query& q = queries_[part.query];
         q.sound |= e.outcome == ok;
         if (e.outcome == reset) ++q.broken, broken_at_ = now_;
@@ -343,8 +342,7 @@
 
     // What was seen long ago fades: a node's figure to that of its zone and kind (which often fail together,
     // and whatever they report), theirs to the fleet's, the fleet's to calls at rest. Guards a router that
-    // sees little against going by what is over: one that turned all away would not learn that the nodes are
-    // well again.
+    // sees little against going by what is over: one that turned all away would never learn better.
     double faded(Recent seen, double to) const {
         if (seen.at == 0) return to;
         return to + (seen.value - to) * std::exp(-static_cast<double>(now_ - seen.at) / fade);
@@ -358,14 +356,19 @@
 
     // The less is known of a node, the more a sample counts: where a node is heard of once in ten seconds, a
     // call that took long must tell.
+    double news(Nanos last) const {
+        return std::max(0.2, 0.8 * (1 - std::exp(-static_cast<double>(now_ - last) / news_after)));
+    }
+
+    double failure_share(std::uint32_t n) const { return faded(fails_[n], 0); }
+
     void sample(std::uint32_t n, double took, int ahead) {
-        const double old = 1 - std::exp(-static_cast<double>(now_ - sampled_at_[n]) / news_after);
         const double all = usual(), group = faded(groups_[group_[n]], all);
         const double own = faded({took_[n], sampled_at_[n]}, group);
         const bool first = fleet_.at == 0;
         fleet_ = {first ? took : all + (took - all) * 0.02, now_};
         groups_[group_[n]] = {first ? took : group + (took - group) * 0.04, now_};
-        took_[n] = first ? took : own + (took - own) * std::max(0.2, 0.8 * old);
+        took_[n] = first ? took : own + (took - own) * news(sampled_at_[n]);
         ahead_[n] += (ahead - ahead_[n]) * 0.2;
         sampled_at_[n] = now_;
     }
@@ -378,6 +381,10 @@
         return open_[n] == 0 ? by_line : std::max(by_line, static_cast<double>(now_ - heard_at_[n]));
     }
 
+    // The same where a failed call goes again: guards against nodes that fail some calls fast and thin
+    // traffic.
+    double until_served(std::uint32_t n) const { return expected(n) / (1 - failure_share(n)); }
+
     // A node that holds calls of ours and has said nothing for several times what calls take.
     bool silent(std::uint32_t n, double times) const {
         return open_[n] > 0 && now_ - heard_at_[n] > times * std::max(took(n), usual());
@@ -443,7 +450,7 @@
         const auto usable = [&](std::uint32_t n) { return !any_unpaused || !suspect(n); };
         double best = HUGE_VAL;
         for (const std::uint32_t n : holders)
-            if (usable(n)) best = std::min(best, expected(n));
+            if (usable(n)) best = std::min(best, until_served(n));
         // Where a call costs the node work of its own, a holder that this round's call already goes to is
         // taken before the next in turn, unless it is slower by more than that cost.
         std::size_t first = holders.size();
@@ -451,11 +458,11 @@
             const std::uint32_t n = holders[(turn_[part.shard] + j) % holders.size()];
             if (!usable(n)) continue;
             const bool joins = call_cost_ > 0 && in_round_[n] > 0 && in_round_[n] < parts_a_call_;
-            if (joins && expected(n) <= pass_over * best + call_cost_) {
+            if (joins && until_served(n) <= pass_over * best + call_cost_) {
                 first = j;
                 break;
             }
-            if (first == holders.size() && expected(n) <= pass_over * best) first = j;
+            if (first == holders.size() && until_served(n) <= pass_over * best) first = j;
             if (call_cost_ <= 0 && first < holders.size()) break;
         }
         if (first == holders.size()) return none;
@@ -506,38 +513,39 @@
     }
 
     void count(std::uint32_t n, bool bad) {
+        ++ended_;
         if (recent_ended_[n]++ == 0) recent_.push_back(n);
         recent_bad_[n] += bad;
     }
 
-    // Looks each second, once parts have ended: a router at full size may hear nothing for long.
+    // Looks each second, once enough parts have ended to show such a share; what was found holds until then.
     void keep_pressure() {
-        if (now_ - looked_at_ >= cut_every && (foreseen_ > 0 || !recent_.empty())) {
-            // Time-outs that pile up at an eighth of the nodes asked are their trouble; p is for the fleet's.
+        if (now_ - looked_at_ >= cut_every && (foreseen_ + ended_) * pressure_share >= 1) {
+            // Bad outcomes that pile up at an eighth of the nodes asked are their trouble; p is for the
+            // fleet's. One at each of them is no pile: a wide query asks a hundred nodes once.
             std::sort(recent_.begin(), recent_.end(),
                       [this](auto a, auto b) { return recent_bad_[a] < recent_bad_[b]; });
             int ended = foreseen_, bad = foreseen_bad_;
             for (std::size_t i = 0; i < recent_.size(); ++i) {
                 ended += recent_ended_[recent_[i]];
-                if (i + (recent_.size() + 7) / 8 < recent_.size()) bad += recent_bad_[recent_[i]];
+                const int b = recent_bad_[recent_[i]];
+                bad += i + (recent_.size() + 7) / 8 < recent_.size() ? b : std::min(b, 1);
             }
             for (const std::uint32_t n : recent_) recent_ended_[n] = recent_bad_[n] = 0;
             recent_.clear();
-            foreseen_ = foreseen_bad_ = 0;
+            ended_ = foreseen_ = foreseen_bad_ = 0;
             const bool pressed = bad > 1 && bad > pressure_share * ended;
             if (pressed != pressed_)
-                log("pressure %s: %d bad of %d parts", pressed ? "on" : "off", bad, ended);
+                moved_at_ = 0, log("pressure %s: %d bad of %d parts", pressed ? "on" : "off", bad, ended);
             pressed_ = pressed;
-            if (pressed) climbed_at_ = now_;
-            for (Vertical& v : verticals_)
-                if (pressed) v.p = std::max(1.0, v.p - p_step * v.k);
             looked_at_ = now_;
             repeats_due_ *= 0.8;
         }
-        if (!pressed_ && now_ - climbed_at_ >= climb_every) {
-            for (Vertical& v : verticals_) v.p = std::min(v.k, v.p + std::max(1.0, p_step * v.k));
-            climbed_at_ = now_;
-        }
+        if (now_ - moved_at_ < (pressed_ ? cut_every : climb_every)) return;
+        moved_at_ = now_;
+        for (Vertical& v : verticals_)
+            v.p = pressed_ ? std::max(1.0, v.p - p_step * v.k)
+                           : std::min(v.k, v.p + std::max(1.0, p_step * v.k));
     }
 
     // Picks the parts to ask, or turns the query away when what it needs can't be in in time.
@@ -643,6 +651,12 @@
             if (!any_out(q)) give_up(q, max_advice_);
             return;
         }
+        // Second copies, for overdue parts: from a replica at rest, only while few are out and nothing
+        // presses; the last few of a query that needs every part are worth one that is in in time.
+        const auto is_in = [this](auto i) { return parts_[i].in; };
+        const auto missing = q.parts.size() - std::count_if(q.parts.begin(), q.parts.end(), is_in);
+        const bool last_few = !verticals_[q.vertical].partial && missing <= copy_share * q.parts.size();
+        const double by = std::max<double>(2 * service_, last_few ? q.slo_at - now_ : 0);
         for (const std::uint32_t i : q.parts) {
             Part& part = parts_[i];
             if (part.in || part.lost || part.calls.empty()) continue;
@@ -652,13 +666,11 @@
                 if (allowed && now_ >= part.held_to) further_.push_back(i);
                 part.lost = !allowed;
             } else if (allowed && copies_ && part.out == 1) {
-                // A second copy, for a part that is overdue, only while few are out and nothing presses.
                 const LeafCall& call = part.calls.back();
-                const bool overdue =
-                    (now_ - call.sent_at > copy_after * usual() && silent(call.node, copy_after)) ||
-                    !ready_[call.node];
-                if (overdue && few_silent_ && !pressed_ && best_holder(part.shard).second < 2 * service_ &&
-                    copies_out_ < copy_share * all_open_ + 1)
+                const bool waits = now_ - call.sent_at > copy_after * usual();
+                const bool overdue = (waits && silent(call.node, copy_after)) || !ready_[call.node];
+                if (overdue && few_silent_ && (!pressed_ || last_few) &&
+                    best_holder(part.shard).second < by && copies_out_ < copy_share * all_open_ + 1)
                     further_.push_back(i);
             }
         }
@@ -754,6 +766,7 @@
     std::vector<std::uint32_t> node_id_, place_, group_;
     std::vector<char> ready_, failing_;  // failing: logged as such
     std::vector<Nanos> started_at_, heard_at_, paused_until_, sampled_at_;
+    std::vector<Recent> fails_;         // the share of its calls that failed
     std::vector<double> took_, ahead_;  // what a call took at sampled_at_, with so many of ours ahead of it
     std::vector<int> open_, streak_, in_round_;   // in_round: parts sent this round, in one call
     std::vector<std::uint32_t> in_call_;          // nodes with a call this round
@@ -775,9 +788,10 @@
     std::vector<std::uint32_t> further_;
     std::deque<Nanos> taken_at_, further_at_;
 
-    Nanos looked_at_ = 0, climbed_at_ = 0, listened_at_ = 0, broken_at_ = 0;
+    Nanos looked_at_ = 0, moved_at_ = 0, listened_at_ = 0, broken_at_ = 0;
     bool pressed_ = false, few_silent_ = true;
-    int foreseen_ = 0, foreseen_bad_ = 0;  // parts planned since the last look; of these, seemingly too late
+    int ended_ = 0, foreseen_ = 0,
+        foreseen_bad_ = 0;  // parts planned since the last look; of these, seemingly too late
 };
 
 QueryRouter::QueryRouter(const Terms& terms, std::uint64_t seed)
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -101,6 +101,59 @@
     CHECK(ask(router, now, 9000, 0, steep).size() == steep.size());
 }
 
+TEST_CASE("one bad outcome each at an eighth of the nodes asked is pressure, and holds while little ends") {
+    // Guards wide queries at routers that see few: of a hundred parts at a hundred nodes, twelve that come
+    // back full are the fleet's trouble, and two good parts of the next query don't end it.
+    const Weights wide(40, 0.025);
+    Terms terms = small_terms(Effect::repeatable, 40);
+    terms.call_cap = 1;
+    QueryRouter router = started(terms, small_list(40));
+    const auto calls = ask(router, start, 1000, 0, wide);
+    REQUIRE(calls.size() == 40);
+    play(router, start + 50 * ms, [&](ArrivalHandler& h) {
+        for (std::size_t i = 0; i < calls.size(); ++i)
+            h.on_leaf_end({calls[i].id, calls[i].node, 0, i % 5 == 0 ? Outcome::full : Outcome::ok, 50 * ms});
+    });
+    play(router, start + 1000 * ms, nothing);
+    ask_and_end(router, start + 1500 * ms, 2000, 1, {0.5, 0.5}, Outcome::ok, 50 * ms);
+    // A quarter of k a second, and down to the floor of 0.5.
+    CHECK(ask(router, start + 2100 * ms, 3000, 0, wide).size() == 20);
+}
+
+TEST_CASE("a node that fails some of its calls is passed over when its pause is long over") {
+    // Guards thin traffic: a pause is over before the next query comes, and what its node did was forgotten.
+    Terms terms = small_terms();
+    terms.call_cap = 1;
+    QueryRouter router = started(terms);
+    Nanos now = start;
+    for (std::uint32_t i = 0; i < 9; ++i, now += 4000 * ms) {
+        const Sent call = ask(router, now, 10 + 10 * i, 1, {1}).at(0);
+        CHECK((i < 3 || call.node != 101));
+        play(router, now + 50 * ms, [&](ArrivalHandler& h) {
+            h.on_leaf_end({call.id, call.node, 0, call.node == 101 ? Outcome::error : Outcome::ok, 50 * ms});
+        });
+    }
+}
+
+TEST_CASE("the last part of a query that needs every part is copied under load, that of another is not") {
+    const auto vertical = GENERATE(std::uint16_t{0}, std::uint16_t{1});
+    const Weights tenths(10, 0.1);
+    QueryRouter router = started(small_terms(Effect::repeatable, 10), small_list(10));
+    // Calls take twenty times what they took at rest.
+    for (std::uint32_t i = 0; i < 8; ++i)
+        ask_and_end(router, start + i * 500 * ms, 1000 + 100 * i, 1, tenths, Outcome::ok,
+                    (i < 3 ? 20 : 400) * ms);
+    const Nanos now = start + 4000 * ms;
+    auto calls = ask(router, now, 5000, vertical, tenths);
+    REQUIRE(calls.size() == 10);
+    calls.erase(calls.begin());  // it is not heard of
+    end_all(router, now + 400 * ms, calls, Outcome::ok, 400 * ms);
+    std::size_t copies = 0;
+    for (Nanos t = now + 450 * ms; t < now + 1800 * ms; t += 50 * ms)
+        copies += play(router, t, nothing).of(Sent::deliver).size();
+    CHECK(copies == (vertical == 1 ? 1 : 0));
+}
+
 TEST_CASE("replicas take turns") {
     QueryRouter router = started();
     std::map<std::uint32_t, int> asked;
