--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -27,7 +27,8 @@
 // The design's figures. Pressure share, step sizes and margin are open; but for the climb they are the page's
 // own.
 constexpr double pressure_share = 0.05;
-constexpr double p_cut = 0.25, p_climb = 0.125;  // of k; a climb only where good outcomes speak for it
+constexpr double p_cut = 0.25;     // of k
+constexpr double p_climb = 0.125;  // for each part that has ended, while nothing presses
 constexpr Nanos cut_every = second;
 constexpr double close_weights = 0.05;
 constexpr int widened = 3;
@@ -40,7 +41,6 @@
 constexpr double usable_time = 0.65;     // of the time left, that what a query needs may be expected to take
 constexpr double lesser_time = 0.35;     // of the time left, for a late query or one over its tenant's share
 constexpr double at_rest = 4.0;          // times the quickest calls: what nodes without a backlog take
-constexpr double foreseen_share = 0.75;  // a part expected to take more of the time left counts as timed out
 constexpr Nanos first_pause = 250 * ms;  // for a failing node, doubled each time
 constexpr int most_doublings = 3;
 constexpr double fade = 20 * second;       // what was seen so long ago counts for a third
@@ -520,28 +520,29 @@
 
     // Looks each second, once enough parts have ended to show such a share; what was found holds until then.
     void keep_pressure() {
-        if (now_ - looked_at_ >= cut_every && (foreseen_ + ended_) * pressure_share >= 1) {
+        if (now_ - looked_at_ >= cut_every && ended_ * pressure_share >= 1) {
             // Bad outcomes that pile up at an eighth of the nodes asked are their trouble; p is for the
             // fleet's. One at each of them is no pile: a wide query asks a hundred nodes once.
             std::sort(recent_.begin(), recent_.end(),
                       [this](auto a, auto b) { return recent_bad_[a] < recent_bad_[b]; });
-            int ended = 0, bad = foreseen_bad_;
+            const int ended = std::exchange(ended_, 0);
+            int bad = 0;
             for (std::size_t i = 0; i < recent_.size(); ++i) {
-                ended += recent_ended_[recent_[i]];
                 const int b = recent_bad_[recent_[i]];
                 bad += i + (recent_.size() + 7) / 8 < recent_.size() ? b : std::min(b, 1);
             }
             for (const std::uint32_t n : recent_) recent_ended_[n] = recent_bad_[n] = 0;
             recent_.clear();
-            ended_ = foreseen_ = foreseen_bad_ = 0;
             const bool pressed = bad > 1 && bad > pressure_share * ended;
             if (pressed != pressed_)
                 moved_at_ = 0, log("pressure %s: %d bad of %d parts", pressed ? "on" : "off", bad, ended);
             pressed_ = pressed;
             looked_at_ = now_;
             repeats_due_ *= 0.8;
-            for (Vertical& v : verticals_)
-                if (!pressed_) v.p = std::min(v.k, v.p + std::max(1.0, p_climb * v.k));
+            for (Vertical& v : verticals_) {
+                const double most = std::max(1.0, 2 * p_cut * v.k);
+                if (!pressed_) v.p = std::min(v.k, v.p + std::clamp(p_climb * ended, 1.0, most));
+            }
         }
         if (!pressed_ || now_ - moved_at_ < cut_every) return;
         moved_at_ = now_;
@@ -586,10 +587,6 @@
             if (n == none || part.in || part.lost) continue;
             part.late_likely = in > most;
             if (!part.late_likely) in_time += part.weight;
-            // A shard whose best holder is in trouble is no sign of pressure: guards p against a few shards
-            // without a sound holder. Can hide pressure while most of the fleet is suspect.
-            if (part.planned && !suspect(n) && !silent(n, copy_after))
-                ++foreseen_, foreseen_bad_ += in > foreseen_share * most;
         }
         if (in_time < (v.partial ? v.terms.floor : v.terms.need) - sum_slack)
             return give_up(q, max_advice_ / 2);
@@ -790,8 +787,7 @@
 
     Nanos looked_at_ = 0, moved_at_ = 0, listened_at_ = 0, broken_at_ = 0;
     bool pressed_ = false, few_silent_ = true;
-    int ended_ = 0, foreseen_ = 0,
-        foreseen_bad_ = 0;  // parts planned since the last look; of these, seemingly too late
+    int ended_ = 0;  // parts, since the last look
 };
 
 QueryRouter::QueryRouter(const Terms& terms, std::uint64_t seed)
