Fleet state: lost members count, halts by themselves, gaps in agreement, commands as bytes

Need: a router that died stopped counting as out at once, so a tool could take the next ones; nothing halted by itself; a time without a majority ended all leases at once; budgets stood outside the log, so replicas with other files would have differed. Change: members whose lease is over stay counted until they are back, forgotten by an operator or by a stated time; conditions that halt (failed share, lost share, whole holders), once for each time that they begin to hold; a gap of over a quarter of a lease gives members that time back and grants nothing for a lease and its drift; data nodes that a stated share of the routers finds silent count as out; budgets are a command; "done" names the members that may go by an older word, or waits for them; words of many members are one command.

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -2,16 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
-#include <nlohmann/json.hpp>
-#include <stdexcept>
 
 namespace tealcart::fleet {
 namespace {
 
-using nlohmann::json;
-
-constexpr int form = 1;  // of a saved state
-
 const char* const stages[] = {"queued", "granted", "done", "returning", "ended"};
 
 }  // namespace
@@ -24,8 +18,8 @@
 
 std::vector<Effect> FleetState::apply(const Command& command) {
     if (const auto known = remembered_.find(command.id); known != remembered_.end()) return known->second;
-    now_ = std::max(now_, command.at);  // a new leader's clock may be behind the last one's
     effects_.clear();
+    pass_time(command.at);
     std::visit([this](const auto& what) { on(what); }, command.what);
     settle();
     if (!command.id.empty()) {
@@ -39,6 +33,20 @@
     return std::exchange(effects_, {});
 }
 
+// A new leader's clock may be behind the last one's: then time stands until it has caught up. Where nothing
+// was agreed for a while, nobody could renew: what was not lost before gets that time back, and nothing is
+// granted until all have had the time to say something.
+void FleetState::pass_time(Nanos at) {
+    const Nanos gap = at - now_;
+    if (gap <= 0) return;
+    if (now_ > 0 && gap > budgets_.lease / 4) {
+        for (auto& [name, m] : members_)
+            if (!m.lost && !m.left) m.lease_until += gap;
+        hold_until_ = at + budgets_.lease + budgets_.drift;
+    }
+    now_ = at;
+}
+
 void FleetState::tell(Effect::Kind kind, std::uint64_t request, std::string why) {
     const auto it = requests_.find(request);
     if (it == requests_.end()) return effects_.push_back({kind, request, 0, generation_, {}, std::move(why)});
@@ -50,24 +58,34 @@
     Member& m = members_[c.name];
     if (c.life < m.life)
         return effects_.push_back({Effect::stale, 0, 0, generation_, c.name, "an earlier life"});
-    // A new life knows nothing of what the old one acted on, and has nothing in hand.
+    // A new life knows nothing of what the old one acted on, and has nothing in hand. The old one's process
+    // may still be there: its word is not taken, and it hears so.
     if (c.life > m.life) m = Member{};
     m.role = c.role, m.zone = c.zone, m.version = c.version, m.digest = c.digest, m.life = c.life;
-    m.lease_until = now_ + budgets_.lease;
+    m.serve_on = c.serve_on;
+    m.lost = m.left = false;
+    m.lease_until = std::max(m.lease_until, now_ + budgets_.lease);
 }
 
 void FleetState::on(const Renew& c) {
     const auto it = members_.find(c.name);
-    if (it == members_.end() || it->second.life != c.life)
+    if (it == members_.end() || it->second.life != c.life || it->second.left)
         return effects_.push_back(
             {Effect::stale, 0, 0, generation_, c.name, "not a member, or of another life"});
     Member& m = it->second;
-    m.lease_until = now_ + budgets_.lease;
-    if (c.acts_on > generation_)
+    m.lease_until = std::max(m.lease_until, now_ + budgets_.lease);
+    m.lost = false;
+    if (c.word.acts_on > generation_)
         return effects_.push_back(
             {Effect::stale, 0, 0, generation_, c.name, "a generation that is not agreed"});
-    m.acts_on = std::max(m.acts_on, c.acts_on);  // words may overtake each other
-    m.in_hand = c.in_hand;
+    const std::uint64_t acts_on = std::max(m.word.acts_on, c.word.acts_on);  // words may overtake each other
+    m.word = c.word;
+    m.word.acts_on = acts_on;
+}
+
+void FleetState::on(const Words& c) {
+    for (const Join& join : c.joins) on(join);
+    for (const Renew& renew : c.renewals) on(renew);
 }
 
 void FleetState::on(const Leave& c) {
@@ -75,15 +93,32 @@
     if (it == members_.end() || it->second.life != c.life)
         return effects_.push_back(
             {Effect::stale, 0, 0, generation_, c.name, "not a member, or of another life"});
-    it->second.lease_until = INT64_MIN / 2;
-    it->second.in_hand.clear();
+    Member& m = it->second;
+    m.left = true;
+    m.lease_until = std::min(m.lease_until, now_ - budgets_.drift - 1);
+    m.word = {};
+}
+
+// Not one that is out: its request would be left without its target.
+void FleetState::on(const Forget& c) {
+    const auto it = members_.find(c.name);
+    std::string why;
+    if (it == members_.end())
+        why = "no such member";
+    else if (!lease_over(it->second))
+        why = "its lease is not over";
+    else if (out_.contains({true, c.name}))
+        why = "it is out by agreement; undrain it first";
+    if (!why.empty()) return effects_.push_back({Effect::refused, 0, 0, generation_, c.name, why});
+    members_.erase(it);
+    effects_.push_back({Effect::forgotten, 0, 0, generation_, c.name, {}});
 }
 
 // A node that discovery forgets while it is out stays known as gone, so that its request and what it uses up
 // of the budgets are not lost; others are dropped.
 void FleetState::on(const NodesSeen& c) {
     for (auto it = nodes_.begin(); it != nodes_.end();) {
-        if (c.nodes.contains(it->first)) {
+        if (c.whole ? c.nodes.contains(it->first) : !c.gone.contains(it->first)) {
             ++it;
         } else if (out_.contains({false, it->first})) {
             (it++)->second.health = Health::gone;
@@ -103,7 +138,7 @@
             return tell(Effect::asked, id, std::string("already ") + stages[int(r.stage)]);
     if (const auto why = never(c.target))
         return effects_.push_back({Effect::refused, 0, 0, generation_, c.target.name, *why});
-    requests_[++last_request_] = {c.asker, c.target, Stage::queued, 0, 0, {}};
+    requests_[++last_request_] = {c.asker, c.target, Stage::queued, 0, 0, {}, {}};
     tell(Effect::asked, last_request_);
 }
 
@@ -134,26 +169,51 @@
     effects_.push_back({Effect::resumed, 0, 0, generation_, {}, {}});
 }
 
-bool FleetState::lease_over(const Member& m) const { return now_ > m.lease_until + budgets_.drift; }
-
 // Whoever took it out: what goes out by itself is not ours to stop, but uses up the budget.
 bool FleetState::counts_as_out(const Target& t) const {
     if (out_.contains(t)) return true;
     if (!t.router) {
         const auto it = nodes_.find(t.name);
-        return it == nodes_.end() || it->second.health != Health::whole;
+        return it == nodes_.end() || it->second.health != Health::whole || found_silent_.contains(t.name);
     }
     const auto it = members_.find(t.name);
     return it == members_.end() || lease_over(it->second);
 }
 
-// Not whole yet, but there: what has died in the meantime holds nobody back.
-bool FleetState::comes_back(const Target& t) const {
-    if (t.router) return false;
-    const auto it = nodes_.find(t.name);
+// Not whole yet, but there: what has died in the meantime holds nobody back. A router is whole again once it
+// goes by the agreement that lets it back.
+bool FleetState::comes_back(const Request& r) const {
+    if (r.target.router) {
+        const auto it = members_.find(r.target.name);
+        return it != members_.end() && !lease_over(it->second) && it->second.word.acts_on < r.generation;
+    }
+    const auto it = nodes_.find(r.target.name);
     return it != nodes_.end() && it->second.health != Health::gone && it->second.health != Health::whole;
 }
 
+// It may still go by an older word: by its lease, or by what it last knew.
+bool FleetState::may_act(const Member& m) const {
+    if (m.left) return false;
+    const Nanos until = m.lease_until > INT64_MAX - m.serve_on - budgets_.drift
+                            ? INT64_MAX
+                            : m.lease_until + m.serve_on + budgets_.drift;
+    return now_ <= until;
+}
+
+bool FleetState::holds_up(const std::string& name, const Member& m, const Request& r) const {
+    if (budgets_.wait_for_lost ? !may_act(m) : lease_over(m)) return false;
+    // A router that is lost can't tell that it has nothing in hand; it has nothing that counts.
+    if (r.target.router && r.target.name == name && lease_over(m)) return false;
+    return m.word.acts_on < r.generation || m.word.in_hand.contains(r.target);
+}
+
+std::vector<std::string> FleetState::waits_for(const Request& request) const {
+    std::vector<std::string> names;
+    for (const auto& [name, m] : members_)
+        if (holds_up(name, m, request)) names.push_back(name);
+    return names;
+}
+
 // What no waiting can change.
 std::optional<std::string> FleetState::never(const Target& t) const {
     if (t.router) {
@@ -212,45 +272,74 @@
     if (auto why = over(budgets_.nodes, out, all, "nodes")) return why;
     if (auto why = over(budgets_.nodes_a_zone, out_zone, all_zone, "nodes_a_zone " + me.zone)) return why;
     if (auto why = over(budgets_.nodes_a_kind, out_kind, all_kind, "nodes_a_kind " + me.kind)) return why;
-    for (const std::uint32_t shard : me.shards) {
-        std::size_t whole = 0;
-        for (const auto& [name, n] : nodes_)
-            whole += name != t.name && !counts_as_out({false, name}) &&
-                     std::find(n.shards.begin(), n.shards.end(), shard) != n.shards.end();
-        if (whole < budgets_.least_holders)
-            return "shard " + std::to_string(shard) + " would keep " + std::to_string(whole) +
-                   " whole holders";
+    std::map<std::uint32_t, std::size_t> whole;
+    for (const std::uint32_t shard : me.shards) whole[shard] = 0;
+    for (const auto& [name, n] : nodes_) {
+        if (name == t.name || counts_as_out({false, name})) continue;
+        for (const std::uint32_t shard : n.shards)
+            if (const auto it = whole.find(shard); it != whole.end()) ++it->second;
     }
+    for (const auto& [shard, holders] : whole)
+        if (holders < budgets_.least_holders)
+            return "shard " + std::to_string(shard) + " would keep " + std::to_string(holders) +
+                   " whole holders";
     return std::nullopt;
 }
 
-// After each command: leases that are over, what is done, the way back, and then grants, first asked first.
+// After each command: leases that are over, what is done, the way back, halts, and then grants.
 void FleetState::settle() {
+    settle_members();
+    settle_done();
+    settle_returns();
+    settle_halts();
+    settle_grants();
+}
+
+void FleetState::settle_members() {
+    std::size_t live = 0;
+    std::map<std::string, std::size_t> silent;
     for (auto it = members_.begin(); it != members_.end();) {
-        // One that is out stays known until its request ends.
-        if (lease_over(it->second) && !out_.contains({true, it->first})) {
+        Member& m = it->second;
+        if (!lease_over(m)) {
+            live += m.role == Role::router;
+            if (m.role == Role::router)
+                for (const std::string& node : m.word.silent) ++silent[node];
+        } else if (!std::exchange(m.lost, true)) {
             effects_.push_back({Effect::over, 0, 0, generation_, it->first, {}});
+        }
+        // One that is out stays known until its request ends.
+        const bool old = lease_over(m) && now_ - m.lease_until > budgets_.forget;
+        if (old && !out_.contains({true, it->first}))
             it = members_.erase(it);
-        } else {
+        else
             ++it;
-        }
     }
+    found_silent_.clear();
+    for (const auto& [node, routers] : silent)
+        if (static_cast<double>(routers) >= budgets_.silent_share * static_cast<double>(live))
+            found_silent_.insert(node);
+}
+
+// Everyone alive has said that it goes by that generation and has nothing in hand there.
+void FleetState::settle_done() {
     for (auto& [id, r] : requests_) {
         if (r.stage != Stage::granted) continue;
-        // Everyone alive has said that it goes by that generation and has nothing in hand there.
-        const bool all = std::all_of(members_.begin(), members_.end(), [&](const auto& m) {
-            return lease_over(m.second) ||
-                   (m.second.acts_on >= r.generation && !m.second.in_hand.contains(r.target.name));
-        });
-        if (!all) continue;
+        if (std::any_of(members_.begin(), members_.end(),
+                        [&](const auto& m) { return holds_up(m.first, m.second, r); }))
+            continue;
         r.stage = Stage::done;
+        for (const auto& [name, m] : members_)
+            if (lease_over(m) && may_act(m) && m.word.acts_on < r.generation) r.unheard.insert(name);
         tell(Effect::done, id);
     }
-    // Back in reverse order, and the next one only when the one before is whole again, so that its cold
-    // limits hold for all routers together.
+}
+
+// Back in reverse order, and the next one only when the one before is whole again, so that its cold limits
+// hold for all routers together.
+void FleetState::settle_returns() {
     bool one_comes = false;
     const auto look = [&](std::uint64_t id, Request& r) {
-        if (comes_back(r.target)) return void(one_comes = true);
+        if (comes_back(r)) return void(one_comes = true);
         r.stage = Stage::ended;
         tell(Effect::ended, id);
     };
@@ -264,13 +353,66 @@
         look(it->first, it->second);
     }
     std::erase_if(requests_, [](const auto& r) { return r.second.stage == Stage::ended; });
-    // A queued one that waits holds back those behind it of its sort, or a wide one would never come.
-    bool node_waits = halted_, router_waits = halted_;
+}
+
+// What calls for a halt, by the name of the condition, with words.
+std::map<std::string, std::string> FleetState::trouble() const {
+    std::map<std::string, std::string> found;
+    std::uint64_t queries = 0, failed = 0;
+    std::size_t routers = 0, lost = 0;
+    for (const auto& [name, m] : members_) {
+        if (m.role != Role::router || m.left) continue;
+        ++routers;
+        if (lease_over(m)) {
+            ++lost;
+        } else {
+            queries += m.word.queries;
+            failed += m.word.failed;
+        }
+    }
+    if (queries >= budgets_.halt_failed_least &&
+        static_cast<double>(failed) > budgets_.halt_failed * static_cast<double>(queries))
+        found["halt_failed"] =
+            std::to_string(failed) + " of " + std::to_string(queries) + " queries failed lately";
+    if (static_cast<double>(lost) > budgets_.halt_lost * static_cast<double>(routers))
+        found["halt_lost"] = std::to_string(lost) + " of " + std::to_string(routers) + " routers are lost";
+    if (budgets_.halt_holders > 0) {
+        std::map<std::uint32_t, std::size_t> whole;
+        for (const auto& [name, n] : nodes_) {
+            const bool is_out = counts_as_out({false, name});
+            for (const std::uint32_t shard : n.shards) whole[shard] += !is_out;
+        }
+        for (const auto& [shard, holders] : whole) {
+            if (holders >= budgets_.halt_holders) continue;
+            found["halt_holders"] =
+                "shard " + std::to_string(shard) + " has " + std::to_string(holders) + " whole holders";
+            break;
+        }
+    }
+    return found;
+}
+
+// A condition halts when it begins to hold; one that a person has resumed over does not halt again until it
+// has ended.
+void FleetState::settle_halts() {
+    const auto now = trouble();
+    for (const auto& [name, words] : now)
+        if (tripped_.insert(name).second && !halted_) on(Halt{words});
+    std::erase_if(tripped_, [&](const std::string& name) { return !now.contains(name); });
+}
+
+// First asked first. A queued one that waits holds back those behind it of its sort, or a wide one would
+// never come.
+void FleetState::settle_grants() {
+    const bool held = halted_ || now_ < hold_until_;
+    bool node_waits = held, router_waits = held;
     for (auto& [id, r] : requests_) {
         bool& waits = r.target.router ? router_waits : node_waits;
         if (r.stage != Stage::queued) continue;
         if (waits) {
-            r.held_by = halted_ ? "halted: " + halted_for_ : "an earlier request waits";
+            r.held_by = halted_ ? "halted: " + halted_for_
+                        : held  ? "agreement was interrupted: members are waited for"
+                                : "an earlier request waits";
             continue;
         }
         if (const auto why = holds_back(r.target)) {
@@ -287,78 +429,4 @@
     }
 }
 
-std::vector<std::uint8_t> FleetState::save() const {
-    json members = json::object(), nodes = json::object(), requests = json::array(), out = json::array(),
-         remembered = json::array();
-    for (const auto& [name, m] : members_)
-        members[name] = {int(m.role), m.zone,        m.version, m.digest,
-                         m.life,      m.lease_until, m.acts_on, m.in_hand};
-    for (const auto& [name, n] : nodes_)
-        nodes[name] = {n.zone, n.kind, n.shards, int(n.health), n.started_at};
-    for (const auto& [id, r] : requests_)
-        requests.push_back(
-            {id, r.asker, r.target.router, r.target.name, int(r.stage), r.fence, r.generation, r.held_by});
-    for (const auto& [t, id] : out_) out.push_back({t.router, t.name, id});
-    for (const std::string& id : came_) {
-        json list = json::array();
-        for (const Effect& e : remembered_.at(id))
-            list.push_back({int(e.kind), e.request, e.fence, e.generation, e.about, e.why});
-        remembered.push_back({id, list});
-    }
-    return json::to_cbor({{"form", form},
-                          {"members", members},
-                          {"nodes", nodes},
-                          {"requests", requests},
-                          {"out", out},
-                          {"remembered", remembered},
-                          {"numbers", {generation_, fence_, last_request_}},
-                          {"halted", halted_},
-                          {"halted_for", halted_for_},
-                          {"now", now_}});
-}
-
-void FleetState::load(const std::vector<std::uint8_t>& bytes) {
-    FleetState read(budgets_);
-    try {
-        const json all = json::from_cbor(bytes);
-        if (const int of = all.at("form").get<int>(); of != form)
-            throw std::runtime_error("a fleet's state of form " + std::to_string(of) +
-                                     ", this program reads " + std::to_string(form));
-        for (const auto& [name, m] : all.at("members").items())
-            read.members_[name] = {static_cast<Role>(m.at(0).get<int>()),
-                                   m.at(1),
-                                   m.at(2),
-                                   m.at(3),
-                                   m.at(4),
-                                   m.at(5),
-                                   m.at(6),
-                                   m.at(7)};
-        for (const auto& [name, n] : all.at("nodes").items())
-            read.nodes_[name] = {n.at(0), n.at(1), n.at(2).get<std::vector<std::uint32_t>>(),
-                                 static_cast<Health>(n.at(3).get<int>()), n.at(4)};
-        for (const json& r : all.at("requests"))
-            read.requests_[r.at(0)] = {
-                r.at(1), {r.at(2), r.at(3)}, static_cast<Stage>(r.at(4).get<int>()), r.at(5), r.at(6),
-                r.at(7)};
-        for (const json& o : all.at("out")) read.out_[{o.at(0), o.at(1)}] = o.at(2);
-        for (const json& c : all.at("remembered")) {
-            std::vector<Effect> effects;
-            for (const json& e : c.at(1))
-                effects.push_back({static_cast<Effect::Kind>(e.at(0).get<int>()), e.at(1), e.at(2), e.at(3),
-                                   e.at(4), e.at(5)});
-            read.came_.push_back(c.at(0));
-            read.remembered_[read.came_.back()] = std::move(effects);
-        }
-        read.generation_ = all.at("numbers").at(0);
-        read.fence_ = all.at("numbers").at(1);
-        read.last_request_ = all.at("numbers").at(2);
-        read.halted_ = all.at("halted");
-        read.halted_for_ = all.at("halted_for");
-        read.now_ = all.at("now");
-    } catch (const json::exception& e) {
-        throw std::runtime_error(std::string("a fleet's state that can't be read: ") + e.what());
-    }
-    *this = std::move(read);
-}
-
 }  // namespace tealcart::fleet
--- a/src/fleet/fleet_state.hpp
+++ b/src/fleet/fleet_state.hpp
@@ -24,6 +24,7 @@
     double share = 1;
 
     std::size_t of(std::size_t all) const;  // rounded down
+    friend bool operator==(const Limit&, const Limit&) = default;
 };
 
 // What operators allow. Everything that is not whole counts as out, whoever took it out.
@@ -33,8 +34,21 @@
     Limit routers, routers_a_zone;
     Nanos lease = 10'000'000'000;  // how long a member's word holds
     Nanos drift = 1'000'000'000;   // by so much more its clock may run slow, or its process may have paused
-    std::size_t most_open = 1000;  // requests not yet ended
+    Nanos forget = 3600'000'000'000;  // a member whose lease is over counts as out for so long
+    // What is granted is "done" although a member whose lease is over may still go by an older word, which is
+    // told; or it waits until that one can't any more.
+    bool wait_for_lost = false;
+    // Halts that come by themselves; what is not stated never comes.
+    double halt_failed = 1;                 // share of the queries that all routers report as failed ...
+    std::uint64_t halt_failed_least = 100;  // ... of so many at least
+    double halt_lost = 1;                   // share of the routers whose lease is over without a farewell
+    std::size_t halt_holders = 0;           // a shard has fewer whole holders than these
+    // A node counts as out once this share of the routers that live finds it silent.
+    double silent_share = 0.5;
+    std::size_t most_open = 1000;          // requests not yet ended
     std::size_t most_remembered = 10'000;  // commands, so that one that comes twice is one
+
+    friend bool operator==(const Budgets&, const Budgets&) = default;
 };
 
 enum class Role : std::uint8_t { router, control };
@@ -44,17 +58,10 @@
 struct Node {
     std::string zone, kind;
     std::vector<std::uint32_t> shards;  // it holds
-    Health health = Health::unknown;    // by discovery and by what routers make of it
+    Health health = Health::unknown;    // by discovery and by its warmth
     Nanos started_at = 0;
-};
 
-struct Member {
-    Role role = Role::router;
-    std::string zone, version, digest;
-    std::uint64_t life = 0;  // a new, greater number at each start
-    Nanos lease_until = 0;
-    std::uint64_t acts_on = 0;      // the generation it goes by
-    std::set<std::string> in_hand;  // what is out and still has work of this member's
+    friend bool operator==(const Node&, const Node&) = default;
 };
 
 // A data node, or a query router by its member's name.
@@ -65,12 +72,34 @@
     friend auto operator<=>(const Target&, const Target&) = default;
 };
 
+// What a member says each time, of itself.
+struct Word {
+    std::uint64_t acts_on = 0;              // the generation it goes by
+    std::set<Target> in_hand;               // what is out and still has work of this member's
+    std::set<std::string> silent;           // data nodes that it finds silent
+    std::uint64_t queries = 0, failed = 0;  // of the last seconds
+
+    friend bool operator==(const Word&, const Word&) = default;
+};
+
+struct Member {
+    Role role = Role::router;
+    std::string zone, version, digest;
+    std::uint64_t life = 0;  // a new, greater number at each start
+    Nanos serve_on = 0;      // after its lease it may act by what it last knew for so long
+    Nanos lease_until = 0;
+    bool lost = false, left = false;  // its lease has certainly ended; by its own farewell
+    Word word;
+};
+
 struct Request {
     std::string asker;
     Target target;
     Stage stage = Stage::queued;
     std::uint64_t fence = 0, generation = 0;  // 0 until granted
     std::string held_by;                      // the limit that a queued one waits for
+    // Of one that is done: members whose lease was over, and which may have gone by an older word then.
+    std::set<std::string> unheard;
 };
 
 // Commands. `id` is the asker's own, and tells that a command comes again.
@@ -79,18 +108,30 @@
     Role role;
     std::string zone, version, digest;
     std::uint64_t life;
+    Nanos serve_on = 0;  // the member's own, see Member
 };
 struct Renew {
     std::string name;
-    std::uint64_t life, acts_on;
-    std::set<std::string> in_hand;
+    std::uint64_t life;
+    Word word;
+};
+// What many members said in one short time, as one command: joins first.
+struct Words {
+    std::vector<Join> joins;
+    std::vector<Renew> renewals;
 };
 struct Leave {
     std::string name;
     std::uint64_t life;
 };
+// A member whose lease is over, and which an operator knows not to come back.
+struct Forget {
+    std::string name;
+};
 struct NodesSeen {
-    std::map<std::string, Node> nodes;  // all of them: one that is not among them is gone
+    std::map<std::string, Node> nodes;
+    bool whole = true;                // all of them: one that is not among them is gone; else what is new ...
+    std::set<std::string> gone = {};  // ... and who went
 };
 struct Ask {
     std::string asker;
@@ -104,13 +145,22 @@
 };
 struct Resume {};
 struct Tick {};
+// What operators allow, from their file. Takes nothing back; nothing more is granted until it holds.
+struct Allow {
+    Budgets budgets;
+};
 
 struct Command {
     std::string id;  // empty: not to be remembered
     Nanos at = 0;    // by the proposer's clock
-    std::variant<Join, Renew, Leave, NodesSeen, Ask, Undo, Halt, Resume, Tick> what;
+    std::variant<Join, Renew, Leave, NodesSeen, Ask, Undo, Halt, Resume, Tick, Words, Forget, Allow> what;
 };
 
+// A command as bytes, for the log, and back. `read_command` throws std::runtime_error on noise, and on a
+// command that this program does not know.
+std::vector<std::uint8_t> write_command(const Command& command);
+Command read_command(const std::uint8_t* bytes, std::size_t size);
+
 struct Effect {
     enum Kind : std::uint8_t {
         asked,     // the request has this number
@@ -121,8 +171,9 @@
         ended,     // it is whole again, or was taken back before it was out
         halted,
         resumed,
-        over,  // a member's lease has certainly ended
-        stale  // the word of an earlier life, not taken
+        over,      // a member's lease has certainly ended
+        stale,     // the word of an earlier life, not taken
+        forgotten  // a member that was lost counts no more
     } kind;
     std::uint64_t request = 0, fence = 0, generation = 0;
     std::string about, why;
@@ -136,14 +187,15 @@
 
     std::vector<Effect> apply(const Command& command);
 
-    // New budgets take nothing back; nothing more is granted until they hold.
-    void take_budgets(Budgets budgets) { budgets_ = std::move(budgets); }
-
     // Whole state, with a number for its form. `load` throws std::runtime_error on another form or noise.
     std::vector<std::uint8_t> save() const;
     void load(const std::vector<std::uint8_t>& bytes);
 
+    const Budgets& budgets() const { return budgets_; }
     std::uint64_t generation() const { return generation_; }
+    Nanos now() const { return now_; }
+    Nanos hold_until() const { return hold_until_; }
+    const std::map<Target, std::uint64_t>& all_out() const { return out_; }
     bool halted() const { return halted_; }
     const std::string& halted_for() const { return halted_for_; }
     const std::map<std::string, Member>& members() const { return members_; }
@@ -153,6 +205,10 @@
     bool out(const Target& target) const { return out_.contains(target); }
     // The limit that the target would break if it went out now; nothing: none.
     std::optional<std::string> holds_back(const Target& target) const;
+    // Everything that is not whole, whoever took it out.
+    bool counts_as_out(const Target& target) const;
+    // Members that a granted request still waits for.
+    std::vector<std::string> waits_for(const Request& request) const;
 
   private:
     void on(const Join& c);
@@ -164,12 +220,23 @@
     void on(const Halt& c);
     void on(const Resume& c);
     void on(const Tick&) {}
+    void on(const Words& c);
+    void on(const Forget& c);
+    void on(const Allow& c) { budgets_ = c.budgets; }
 
-    bool counts_as_out(const Target& target) const;
-    bool comes_back(const Target& target) const;
-    bool lease_over(const Member& member) const;
+    bool comes_back(const Request& request) const;
+    bool lease_over(const Member& member) const { return now_ > member.lease_until + budgets_.drift; }
+    bool may_act(const Member& member) const;
+    bool holds_up(const std::string& name, const Member& member, const Request& request) const;
     std::optional<std::string> never(const Target& target) const;
+    void pass_time(Nanos at);
     void settle();
+    void settle_members();
+    void settle_done();
+    void settle_returns();
+    void settle_halts();
+    void settle_grants();
+    std::map<std::string, std::string> trouble() const;
     void tell(Effect::Kind kind, std::uint64_t request, std::string why = {});
 
     Budgets budgets_;
@@ -182,7 +249,10 @@
     std::uint64_t generation_ = 0, fence_ = 0, last_request_ = 0;
     bool halted_ = false;
     std::string halted_for_;
-    Nanos now_ = 0;  // the latest time that a command has told: it never runs back
+    std::set<std::string> tripped_;       // conditions for a halt that hold now; only a new one halts
+    std::set<std::string> found_silent_;  // data nodes, by enough of the routers
+    Nanos now_ = 0;                       // the latest time that a command has told: it never runs back
+    Nanos hold_until_ = 0;                // nothing is granted before: members may not have been heard
     std::vector<Effect> effects_;
 };
 
