Stewards: the fleet's state replicated by libraft, and a query router's membership in it

Need: what may be out has to be agreed by several processes and to outlive each of them; until now the state machine stood alone. A `member` block in the operators' file gives a router its lease (src/members, no I/O), joins the agreed list with discovery's before the module (the stricter wins), ends leaf calls that wait past the lease where operators say stop, and tells what it acts on only after the round that played it. Without the block nothing is made.

--- /dev/null
+++ b/src/members/member_lease.hpp
@@ -0,0 +1,55 @@
+// A member's side of its lease: what it may do at which time, by its own steady clock alone. No I/O.
+//
+// The lease counts from when the renewal that was answered was *sent*, so it is over here before the stewards
+// take it to be over, as long as clocks run apart by less than the stewards' `drift` in one lease.
+#pragma once
+
+#include <cstdint>
+
+#include "members/member_terms.hpp"
+
+namespace tealcart {
+
+enum class Standing : std::uint8_t {
+    unheard,  // no steward has spoken yet
+    member,   // the lease holds
+    alone,    // the lease is over; it goes on by what it last knew
+    cut       // and that time is over too, or another process goes by its name
+};
+
+class MemberLease {
+  public:
+    MemberLease(const MemberTerms& terms, Nanos started, std::uint64_t life);
+
+    // A renewal sent at `sent` was granted for `lease` by stewards who had agreed on `generation`.
+    void renewed(Nanos sent, Nanos lease);
+    // The stewards know a later life of this name. One that was a member once has been followed by another
+    // process, and is cut for good; else an earlier process had a clock that was ahead.
+    void outlived(std::uint64_t last_life);
+
+    Standing standing(Nanos now) const;
+    // Whether a front is to send it queries; whether it takes what comes.
+    bool ready(Nanos now) const;
+    bool admits(Nanos now) const;
+    // No leaf call is written after this; INT64_MAX: none such.
+    Nanos no_calls_after() const;
+    // When what the above tell may change next without any word; INT64_MAX: never.
+    Nanos next_change(Nanos now) const;
+
+    // So long may the stewards keep the next renewal waiting for news: with something in hand that they wait
+    // for, it is told soon.
+    Nanos wait(bool in_hand) const;
+    std::uint64_t life() const { return life_; }
+    Nanos lease_until() const { return lease_until_; }
+
+  private:
+    Nanos alone_until() const;
+
+    const Nanos started_, serve_on_, first_word_;
+    const bool then_stop_;
+    std::uint64_t life_;
+    Nanos lease_ = 0, lease_until_ = 0;  // 0: none yet
+    bool followed_ = false;
+};
+
+}  // namespace tealcart
--- a/src/service/bridge.cpp
+++ b/src/service/bridge.cpp
@@ -55,6 +55,7 @@
     if (path == "/-/ready" || path == "/-/healthy") {
         if (request.method != "GET") return front_->answer(client, {405, write_error("GET only"), 0, "GET"});
         if (stopping_ && path == "/-/ready") return refuse(client, 503, "stopping");
+        if (!standing_.ready && path == "/-/ready") return refuse(client, 503, "out of the fleet");
         return front_->answer(client, {200, {}, 0});
     }
     const std::string_view name = path.substr(0, path.find('/', 1));
@@ -77,6 +78,7 @@
     // Its parts could not be told from those of the query that is out.
     if (by_text_.contains(request.id)) return refuse(client, 409, "X-Request-Id is in use");
     if (held_ >= most_held_) return refuse(client, 503, "too many queries in hand");
+    if (!standing_.admits) return refuse(client, 503, "cut off from the fleet");
 
     const Handle h = queries_.take();
     Query& q = *queries_.find(h);
@@ -171,6 +173,7 @@
     const LeafCall ended = *call;
     calls_.give_back(h);
     links_->done(ended.link, h);
+    if (outcomes_ != nullptr) outcomes_->on_call_end(ended.node, outcome);
     Query& q = *queries_.find(ended.query);
     Part& part = q.parts[ended.part];
     if (outcome == Outcome::ok && !part.in && !q.ended) {
@@ -296,8 +299,8 @@
 // A further leaf call of a deduplicated part must not wait for a connection until its repeat would run: the
 // window counts from the first one's send, with a little left for the way.
 Nanos Bridge::send_by(const Query& q, const Part& part, const LeafCall& call) const {
-    if (!keyed_[q.vertical] || call.attempt == 0) return Deadlines::never;
-    return part.first_sent_at + repeat_window_[q.vertical];
+    if (!keyed_[q.vertical] || call.attempt == 0) return standing_.no_calls_after;
+    return std::min(standing_.no_calls_after, part.first_sent_at + repeat_window_[q.vertical]);
 }
 
 void Bridge::cancel(std::uint32_t id, std::uint8_t attempt) {
@@ -347,6 +350,7 @@
 void Bridge::finish(std::uint32_t id, Answer answer) {
     const Query* q = query_of(id);
     if (q == nullptr) return;
+    if (outcomes_ != nullptr) outcomes_->on_query_end(answer.status);
     front_->answer(q->client, std::move(answer));
     end_query(by_id_.at(id));
 }
--- a/src/service/bridge.hpp
+++ b/src/service/bridge.hpp
@@ -34,6 +34,20 @@
     Nanos worst_overrun = 0;
 };
 
+// What a member of a fleet may do now, beside what the platform allows.
+struct MemberStanding {
+    bool ready = true, admits = true;
+    Nanos no_calls_after = Deadlines::never;
+};
+
+// Told how queries and leaf calls end.
+class OutcomeTaker {
+  public:
+    virtual ~OutcomeTaker() = default;
+    virtual void on_query_end(int status) = 0;
+    virtual void on_call_end(std::uint32_t node, Outcome outcome) = 0;
+};
+
 class Bridge final : public RequestTaker,
                      public LinkOwner,
                      public ListTaker,
@@ -61,6 +75,16 @@
     void run_round();
 
     void begin_stop() { stopping_ = true; }
+    // Of members of a fleet alone.
+    void watch_outcomes(OutcomeTaker* taker) { outcomes_ = taker; }
+    void take_standing(const MemberStanding& standing) { standing_ = standing; }
+    // Whether a leaf call is out to a node whose name is one of these.
+    template <typename Which>
+    bool any_call_to(Which which) const {
+        bool any = false;
+        calls_.each([&](Handle, const LeafCall& call) { any |= which(nodes_.name(call.node)); });
+        return any;
+    }
     std::size_t held() const { return held_; }
     std::size_t calls_out() const { return calls_.used(); }
     const NodeList& nodes() const { return nodes_; }
@@ -201,7 +225,9 @@
     };
     std::unordered_map<std::string, Handle, TextHash, std::equal_to<>> by_text_;  // the clients' ids
     std::unordered_map<std::uint32_t, Handle> by_client_;  // the query that a client's slot waits for
-    std::size_t held_ = 0;                                 // queries and parts not yet ended
+    MemberStanding standing_;
+    OutcomeTaker* outcomes_ = nullptr;
+    std::size_t held_ = 0;  // queries and parts not yet ended
     std::uint32_t last_id_ = 0;
     Nanos last_round_ = 0;
     std::vector<Arrived> arrived_, playing_;
--- a/src/service/main.cpp
+++ b/src/service/main.cpp
@@ -15,12 +15,11 @@
 #include "service/completion.hpp"
 #include "service/log.hpp"
 #include "service/service.hpp"
+#include "service/version.hpp"
 #include "terms/migration.hpp"
 
 namespace {
 
-constexpr const char* version = "0.3.0";
-
 struct Asked {
     std::string launch, file, shell, to;
     bool dry_run = false;
@@ -133,7 +132,7 @@
         return app.exit(e) == 0 ? 0 : 2;
     }
     try {
-        if (telling->parsed()) return std::printf("tealcart %s\n", version) < 0;
+        if (telling->parsed()) return std::printf("tealcart %s\n", tealcart::version) < 0;
         if (completing->parsed())
             return std::fputs(tealcart::completion_script(app, asked.shell).c_str(), stdout) < 0;
         if (migrating->parsed()) return migrate(asked);
--- /dev/null
+++ b/src/service/membership.cpp
@@ -0,0 +1,145 @@
+#include "service/membership.hpp"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <cstdio>
+
+#include "service/log.hpp"
+#include "service/version.hpp"
+
+namespace tealcart {
+namespace {
+
+constexpr Nanos ms = 1'000'000;
+constexpr Nanos farewell_within = 300 * ms;
+const char* const standings[] = {"no steward has spoken yet", "a member",
+                                 "its lease is over; it goes on by what it last knew", "cut off"};
+
+// Of all that was stated when it started.
+std::string digest_of(const Launch& launch) {
+    const std::string all = launch.settings + '\n' + launch.operators.text;
+    char text[17];
+    std::snprintf(text, sizeof text, "%016llx",
+                  static_cast<unsigned long long>(XXH3_64bits(all.data(), all.size())));
+    return text;
+}
+
+}  // namespace
+
+Membership::Membership(boost::asio::io_context& io, Timekeeper& time, const Launch& launch, Bridge& bridge)
+    : time_(time), terms_(launch.operators.member), name_(terms_.name.empty() ? launch.name : terms_.name),
+      digest_(digest_of(launch)), bridge_(bridge),
+      lease_(terms_, time.now(), static_cast<std::uint64_t>(time.now())),
+      watch_(io, time, *this, terms_.stewards) {
+    bridge_.watch_outcomes(this);
+    look();
+}
+
+void Membership::hand_on(const TargetList& list) {
+    if (!list.nodes.empty() || list.whole) bridge_.on_list(list);
+}
+
+void Membership::on_list(const TargetList& list) { hand_on(list_.discovered(list)); }
+
+// Guards against going on, after a stall, by a lease that is over.
+void Membership::look() {
+    const Nanos now = time_.now();
+    const Standing standing = lease_.standing(now);
+    if (standing != standing_)
+        log_line("member %s, life %llu: %s", name_.c_str(), static_cast<unsigned long long>(lease_.life()),
+                 standings[static_cast<int>(standing)]);
+    standing_ = standing;
+    const bool cut = now >= lease_.no_calls_after();
+    if (cut != cut_) hand_on(list_.cut(cut));
+    cut_ = cut;
+    bridge_.take_standing({lease_.ready(now) && !out_, lease_.admits(now), lease_.no_calls_after()});
+}
+
+void Membership::after_round() {
+    // All that the bridge was told has been played to the module by now.
+    if (bridge_.next_round() != Deadlines::never) return;
+    acts_on_ = told_;
+    watch_.next();
+}
+
+bool Membership::anything_in_hand() const {
+    if (out_ && bridge_.held() > 0) return true;
+    return bridge_.any_call_to([this](const std::string& node) { return list_.out().contains(node); });
+}
+
+MemberCall Membership::word() {
+    MemberCall call;
+    call.name = name_;
+    call.role = "router";
+    call.zone = terms_.zone;
+    call.version = version;
+    call.digest = digest_;
+    call.life = lease_.life();
+    call.serve_on = terms_.serve_on;
+    call.acts_on = acts_on_;
+    call.knows = told_;
+    if (out_ && bridge_.held() > 0) call.in_hand.push_back({true, name_});
+    for (const std::string& node : list_.out())
+        if (bridge_.any_call_to([&node](const std::string& at) { return at == node; }))
+            call.in_hand.push_back({false, node});
+    call.wait = lease_.wait(!call.in_hand.empty() || acts_on_ < told_);
+    for (const std::uint32_t node : outcomes_.silent(time_.now()))
+        if (const std::string& at = bridge_.nodes().name(node); !at.empty()) call.silent.push_back(at);
+    const OutcomeWatch::Counts counts = outcomes_.counts(time_.now());
+    call.queries = counts.queries;
+    call.failed = counts.failed;
+    call.leaves = leaves_;
+    return call;
+}
+
+void Membership::on_agreed(Nanos sent, const MemberAnswer& answer) {
+    if (leaves_) {
+        left_ = true;
+        return;
+    }
+    lease_.renewed(sent, answer.lease);
+    // A steward that leads anew may be behind for a moment; what is known stands.
+    if (answer.generation > told_ || told_ == 0) {
+        std::set<std::string> out;
+        out_ = false;
+        for (const TargetName& t : answer.out) {
+            if (!t.router)
+                out.insert(t.name);
+            else if (t.name == name_)
+                out_ = true;
+        }
+        if (answer.generation != told_)
+            log_line("generation %llu: %zu data nodes are out by agreement%s",
+                     static_cast<unsigned long long>(answer.generation), out.size(),
+                     out_ ? ", and this router" : "");
+        told_ = answer.generation;
+        hand_on(list_.agreed(std::move(out)));
+    }
+    look();
+    after_round();
+}
+
+void Membership::on_outlived(std::uint64_t last_life) {
+    lease_.outlived(last_life);
+    look();
+}
+
+bool Membership::farewell() {
+    const Nanos now = time_.now();
+    if (farewell_began_ == 0) {
+        farewell_began_ = now;
+        leaves_ = true;
+        if (standing_ != Standing::member) return true;
+        watch_.say_now();
+    }
+    return left_ || now - farewell_began_ > farewell_within;
+}
+
+void Membership::on_query_end(int status) { outcomes_.query_ended(time_.now(), status != 200); }
+
+void Membership::on_call_end(std::uint32_t node, Outcome outcome) {
+    outcomes_.call_ended(time_.now(), node, outcome);
+}
+
+}  // namespace tealcart
--- /dev/null
+++ b/src/service/membership.hpp
@@ -0,0 +1,52 @@
+// A query router's part in the fleet: discovery's list and what was agreed go to the bridge as one, the lease
+// is kept, and what the router does is told. Made only where the operators' file has a `member` block.
+#pragma once
+
+#include "members/agreed_list.hpp"
+#include "members/member_lease.hpp"
+#include "members/outcome_watch.hpp"
+#include "service/bridge.hpp"
+#include "wire/steward_watch.hpp"
+
+namespace tealcart {
+
+class Membership final : public ListTaker, private StewardTaker, private OutcomeTaker {
+  public:
+    Membership(boost::asio::io_context& io, Timekeeper& time, const Launch& launch, Bridge& bridge);
+
+    void start() { watch_.start(); }
+    void stop() { watch_.stop(); }
+    void on_list(const TargetList& list) override;
+
+    // To be called before each round: what the clock alone has changed goes before what the round decides.
+    void look();
+    // And after it: what the bridge was told is acted on.
+    void after_round();
+    Nanos next_change() const { return lease_.next_change(time_.now()); }
+    // Says farewell; true once it was heard, or has been waited for long enough.
+    bool farewell();
+
+  private:
+    MemberCall word() override;
+    void on_agreed(Nanos sent, const MemberAnswer& answer) override;
+    void on_outlived(std::uint64_t last_life) override;
+    void on_query_end(int status) override;
+    void on_call_end(std::uint32_t node, Outcome outcome) override;
+    void hand_on(const TargetList& list);
+    bool anything_in_hand() const;
+
+    Timekeeper& time_;
+    const MemberTerms terms_;
+    const std::string name_, digest_;
+    Bridge& bridge_;
+    MemberLease lease_;
+    AgreedList list_;
+    OutcomeWatch outcomes_;
+    StewardWatch watch_;
+    std::uint64_t told_ = 0, acts_on_ = 0;  // generations
+    bool out_ = false, cut_ = false, leaves_ = false, left_ = false;
+    Standing standing_ = Standing::unheard;
+    Nanos farewell_began_ = 0;
+};
+
+}  // namespace tealcart
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -27,11 +27,15 @@
       bridge_(time_, launch_),
       front_(io_, time_, bridge_, clients_of(launch_), launch_.link_terms.longest_wait),
       links_(io_, time_, launch_.link_terms, bridge_, links_of(launch_)),
-      watch_(io_, time_, bridge_, launch_.discovery, static_cast<std::uint32_t>(launch_.terms.places)),
+      member_(launch_.operators.member.on ? std::make_unique<Membership>(io_, time_, launch_, bridge_)
+                                          : nullptr),
+      watch_(io_, time_, member_ ? static_cast<ListTaker&>(*member_) : bridge_, launch_.discovery,
+             static_cast<std::uint32_t>(launch_.terms.places)),
       timer_(io_) {
     start_log(launch_.operators.log);
     bridge_.connect(front_, links_);
     bridge_.take_list(launch_.known, ListKind::cached);
+    if (member_) member_->start();
     front_.listen(launch_.listen.host, launch_.listen.port);
     watch_.start(launch_.known.generation);
     await_signal();
@@ -86,12 +90,17 @@
     for (int i = 0; i < handlers_a_turn && io_.poll_one() > 0; ++i) {
     }
     time_.due.tell(time_.now());
-    if (bridge_.next_round() <= time_.now()) bridge_.run_round();
+    if (member_) member_->look();
+    if (bridge_.next_round() <= time_.now()) {
+        bridge_.run_round();
+        if (member_) member_->after_round();
+    }
     return !may_exit();
 }
 
 void Service::set_timer() {
     Nanos at = std::min(time_.due.next(), bridge_.next_round());
+    if (member_) at = std::min(at, member_->next_change());
     if (stop_began_ > 0) at = std::min(at, std::max(time_.now() + ms, stop_began_ + arrivals_after_stop));
     at = std::clamp(at, time_.now(), time_.now() + heartbeat);
     if (timer_at_ != Deadlines::never && timer_at_ <= at) return;
@@ -117,9 +126,11 @@
     if (stop_began_ == 0 || now - stop_began_ < arrivals_after_stop) return false;
     front_.close_idle(now - arrivals_after_stop);
     if (front_.open() > 0) return false;
+    if (member_ && !member_->farewell()) return false;
     if (!front_.end_listening()) return false;
     log_line("stopped after %lld ms", static_cast<long long>((now - stop_began_) / ms));
     watch_.stop();
+    if (member_) member_->stop();
     links_.close_all();
     signals_.cancel();
     timer_.cancel();
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -8,6 +8,7 @@
 
 #include "service/bridge.hpp"
 #include "service/launch.hpp"
+#include "service/membership.hpp"
 
 namespace tealcart {
 
@@ -41,6 +42,7 @@
     Bridge bridge_;
     ClientFront front_;
     NodeLinks links_;
+    std::unique_ptr<Membership> member_;  // of a fleet, where the operators' file says so
     DiscoveryWatch watch_;
     boost::asio::steady_timer timer_;
     Nanos timer_at_ = Deadlines::never, stop_began_ = 0;
--- /dev/null
+++ b/src/steward/raft_node.cpp
@@ -0,0 +1,236 @@
+#include "steward/raft_node.hpp"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstring>
+#include <new>
+#include <stdexcept>
+
+namespace tealcart::steward {
+namespace {
+
+constexpr Nanos ms = 1'000'000;
+constexpr std::size_t segment = 1 << 20;               // bytes of a file of the log
+constexpr unsigned snapshot_after = 4096, keep = 512;  // entries
+constexpr unsigned connect_again_ms = 100;
+constexpr Nanos longest_sleep = 50 * ms;
+
+raft_buffer buffer_of(const std::vector<std::uint8_t>& bytes) {
+    raft_buffer buf{raft_malloc(std::max<std::size_t>(bytes.size(), 1)), bytes.size()};
+    if (buf.base == nullptr) throw std::bad_alloc();
+    std::memcpy(buf.base, bytes.data(), bytes.size());
+    return buf;
+}
+
+[[noreturn]] void fail(const std::string& folder, const std::string& what) {
+    throw std::runtime_error("the steward's folder " + folder + ": " + what);
+}
+
+}  // namespace
+
+struct RaftNode::Proposal {
+    struct raft_apply request {};
+    Done done;
+};
+
+struct RaftNode::Change {
+    raft_change request{};
+    RaftNode* node = nullptr;
+    std::uint64_t promote = 0;  // added: to be a voter next
+    Changed changed;
+};
+
+RaftNode::RaftNode(boost::asio::io_context& io, const RaftTerms& terms, LogMachine& machine)
+    : io_(io), machine_(machine) {
+    open(terms);
+}
+
+// What the library calls back into this holds no exception: it is kept until `turn` throws it.
+void RaftNode::open(const RaftTerms& terms) {
+    if (const int rv = uv_loop_init(&loop_); rv != 0)
+        throw std::runtime_error(std::string("the log's loop: ") + uv_strerror(rv));
+    transport_.data = this;
+    if (raft_uv_tcp_init(&transport_, &loop_) != 0) fail(terms.folder, transport_.errmsg);
+    if (!terms.bind.empty() && raft_uv_tcp_set_bind_address(&transport_, terms.bind.c_str()) != 0)
+        fail(terms.folder, "it can't listen at " + terms.bind);
+    if (const int rv = raft_uv_init(&raft_io_, &loop_, terms.folder.c_str(), &transport_); rv != 0)
+        fail(terms.folder, raft_io_.errmsg[0] != 0 ? raft_io_.errmsg : raft_strerror(rv));
+    raft_uv_set_segment_size(&raft_io_, segment);
+    raft_uv_set_connect_retry_delay(&raft_io_, connect_again_ms);
+    fsm_.version = 1;
+    fsm_.data = this;
+    fsm_.apply = [](raft_fsm* fsm, const raft_buffer* buf, void**) {
+        auto& self = *static_cast<RaftNode*>(fsm->data);
+        try {
+            if (self.broken_.empty())
+                self.machine_.apply(static_cast<const std::uint8_t*>(buf->base), buf->len);
+        } catch (const std::exception& e) {
+            self.broken_ = e.what();
+        }
+        // Nothing is applied past what can't be read: the next would be taken for another state.
+        return self.broken_.empty() ? 0 : RAFT_MALFORMED;
+    };
+    fsm_.snapshot = [](raft_fsm* fsm, raft_buffer* bufs[], unsigned* n) -> int {
+        *bufs = static_cast<raft_buffer*>(raft_malloc(sizeof(raft_buffer)));
+        if (*bufs == nullptr) return RAFT_NOMEM;
+        (*bufs)[0] = buffer_of(static_cast<RaftNode*>(fsm->data)->machine_.save());
+        *n = 1;
+        return 0;
+    };
+    fsm_.restore = [](raft_fsm* fsm, raft_buffer* buf) -> int {
+        auto& self = *static_cast<RaftNode*>(fsm->data);
+        const auto* at = static_cast<const std::uint8_t*>(buf->base);
+        try {
+            self.machine_.load({at, at + buf->len});
+        } catch (const std::exception& e) {
+            self.broken_ = e.what();
+            return RAFT_MALFORMED;
+        }
+        raft_free(buf->base);
+        return 0;
+    };
+    if (const int rv = raft_init(&raft_, &raft_io_, &fsm_, terms.id, terms.address.c_str()); rv != 0)
+        fail(terms.folder, raft_errmsg(&raft_)[0] != 0 ? raft_errmsg(&raft_) : raft_strerror(rv));
+    raft_.data = this;
+    raft_set_election_timeout(&raft_, static_cast<unsigned>(terms.election / ms));
+    raft_set_heartbeat_timeout(&raft_, static_cast<unsigned>(std::max<Nanos>(20, terms.election / ms / 10)));
+    raft_set_snapshot_threshold(&raft_, snapshot_after);
+    raft_set_snapshot_trailing(&raft_, keep);
+    raft_set_pre_vote(&raft_, true);
+}
+
+void RaftNode::bootstrap(const RaftTerms& terms, const std::vector<RaftServer>& servers) {
+    struct Nothing final : LogMachine {
+        void apply(const std::uint8_t*, std::size_t) override {}
+        std::vector<std::uint8_t> save() const override { return {}; }
+        void load(const std::vector<std::uint8_t>&) override {}
+    } nothing;
+    boost::asio::io_context io;
+    RaftNode node(io, terms, nothing);
+    raft_configuration all;
+    raft_configuration_init(&all);
+    int rv = 0;
+    for (const RaftServer& s : servers)
+        if (rv == 0) rv = raft_configuration_add(&all, s.id, s.address.c_str(), RAFT_VOTER);
+    if (rv == 0) rv = raft_bootstrap(&node.raft_, &all);
+    raft_configuration_close(&all);
+    const std::string wrong = rv == RAFT_CANTBOOTSTRAP ? "it holds a log already" : raft_strerror(rv);
+    node.close();
+    if (rv != 0) fail(terms.folder, wrong);
+}
+
+RaftNode::~RaftNode() { close(); }
+
+void RaftNode::start() {
+    if (const int rv = raft_start(&raft_); rv != 0) {
+        const std::string why = !broken_.empty()              ? broken_
+                                : raft_errmsg(&raft_)[0] != 0 ? raft_errmsg(&raft_)
+                                                              : raft_strerror(rv);
+        throw std::runtime_error("the steward's log can't be read: " + why);
+    }
+    started_ = true;
+    backend_ = std::make_unique<boost::asio::posix::stream_descriptor>(io_, ::dup(uv_backend_fd(&loop_)));
+    turn();
+}
+
+Nanos RaftNode::turn() {
+    if (closed_) return longest_sleep;
+    uv_run(&loop_, UV_RUN_NOWAIT);
+    if (!broken_.empty()) throw std::runtime_error(broken_);
+    if (started_ && raft_state(&raft_) == RAFT_UNAVAILABLE)
+        throw std::runtime_error(std::string("the log can't be written: ") + raft_errmsg(&raft_));
+    if (!std::exchange(waits_, true))
+        backend_->async_wait(boost::asio::posix::stream_descriptor::wait_read,
+                             [this](const boost::system::error_code&) { waits_ = false; });
+    const int next = uv_backend_timeout(&loop_);
+    return next < 0 ? longest_sleep : std::min(longest_sleep, next * ms);
+}
+
+void RaftNode::close() {
+    if (std::exchange(closed_, true)) return;
+    if (backend_) backend_->close();
+    bool ended = false;
+    raft_.data = &ended;
+    raft_close(&raft_, [](raft* r) { *static_cast<bool*>(r->data) = true; });
+    while (!ended) uv_run(&loop_, UV_RUN_ONCE);
+    raft_uv_close(&raft_io_);
+    raft_uv_tcp_close(&transport_);
+    // What the transport closed may need another turn.
+    for (int i = 0; i < 1000 && uv_loop_close(&loop_) == UV_EBUSY; ++i) uv_run(&loop_, UV_RUN_NOWAIT);
+}
+
+bool RaftNode::propose(std::vector<std::uint8_t> bytes, Done done) {
+    if (!leads()) return false;
+    auto proposal = std::make_unique<Proposal>();
+    proposal->done = std::move(done);
+    proposal->request.data = proposal.get();
+    raft_buffer buf = buffer_of(bytes);
+    const int rv =
+        raft_apply(&raft_, &proposal->request, &buf, 1, [](struct raft_apply* request, int status, void*) {
+            const std::unique_ptr<Proposal> ended(static_cast<Proposal*>(request->data));
+            ended->done(status == 0);
+        });
+    if (rv != 0) {
+        raft_free(buf.base);
+        return false;
+    }
+    proposal.release();  // the library's until it is told
+    return true;
+}
+
+bool RaftNode::leads() const { return started_ && !closed_ && raft_.state == RAFT_LEADER; }
+
+std::uint64_t RaftNode::leader() const {
+    raft_id id = 0;
+    const char* address = nullptr;
+    raft_leader(const_cast<raft*>(&raft_), &id, &address);
+    return id;
+}
+
+std::uint64_t RaftNode::applied() const { return raft_.last_applied; }
+
+std::vector<RaftServer> RaftNode::servers() const {
+    std::vector<RaftServer> all;
+    for (unsigned i = 0; i < raft_.configuration.n; ++i)
+        all.push_back({raft_.configuration.servers[i].id, raft_.configuration.servers[i].address});
+    return all;
+}
+
+void RaftNode::add(const RaftServer& server, Changed changed) {
+    auto change = std::make_unique<Change>();
+    change->node = this;
+    change->promote = server.id;
+    change->changed = std::move(changed);
+    change->request.data = change.get();
+    // First it takes the log; then it has a vote.
+    const int rv = raft_add(
+        &raft_, &change->request, server.id, server.address.c_str(), [](raft_change* request, int status) {
+            std::unique_ptr<Change> added(static_cast<Change*>(request->data));
+            if (status != 0) return added->changed(raft_strerror(status));
+            const int next =
+                raft_assign(&added->node->raft_, &added->request, added->promote, RAFT_VOTER,
+                            [](raft_change* second, int ended) {
+                                const std::unique_ptr<Change> done(static_cast<Change*>(second->data));
+                                done->changed(ended == 0 ? "" : raft_strerror(ended));
+                            });
+            if (next != 0) return added->changed(raft_strerror(next));
+            added.release();
+        });
+    if (rv != 0) return change->changed(raft_strerror(rv));
+    change.release();
+}
+
+void RaftNode::remove(std::uint64_t id, Changed changed) {
+    auto change = std::make_unique<Change>();
+    change->changed = std::move(changed);
+    change->request.data = change.get();
+    const int rv = raft_remove(&raft_, &change->request, id, [](raft_change* request, int status) {
+        const std::unique_ptr<Change> ended(static_cast<Change*>(request->data));
+        ended->changed(status == 0 ? "" : raft_strerror(status));
+    });
+    if (rv != 0) return change->changed(raft_strerror(rv));
+    change.release();
+}
+
+}  // namespace tealcart::steward
--- /dev/null
+++ b/src/steward/raft_node.hpp
@@ -0,0 +1,95 @@
+// One node of the replicated log: libraft on its libuv backend, run inside an io_context. The log's entries
+// are bytes, handed to a machine in the one order that all nodes agree on.
+//
+// libuv's loop has no thread of its own: its backend is one descriptor, which the io_context waits on, and
+// `turn` lets the loop do what is ready. So a steward is one thread, as the query router is.
+#pragma once
+
+#include <uv.h>
+
+extern "C" {  // the library's headers don't say so themselves
+#include <raft.h>
+#include <raft/uv.h>
+}
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "router/query_router.hpp"
+
+namespace tealcart::steward {
+
+struct RaftServer {
+    std::uint64_t id = 0;
+    std::string address;  // where the others reach it
+};
+
+// What the log is for. Throws std::runtime_error on what it can't read: the node then ends.
+class LogMachine {
+  public:
+    virtual ~LogMachine() = default;
+    virtual void apply(const std::uint8_t* bytes, std::size_t size) = 0;
+    virtual std::vector<std::uint8_t> save() const = 0;
+    virtual void load(const std::vector<std::uint8_t>& bytes) = 0;
+};
+
+struct RaftTerms {
+    std::uint64_t id = 0;
+    std::string address, bind, folder;  // bind: where it listens, if that is another address
+    Nanos election = 600'000'000;
+};
+
+class RaftNode {
+  public:
+    // Throws std::runtime_error, in one line, where the folder can't be used or holds what can't be read.
+    RaftNode(boost::asio::io_context& io, const RaftTerms& terms, LogMachine& machine);
+    ~RaftNode();
+
+    // An empty folder becomes one of these servers.
+    static void bootstrap(const RaftTerms& terms, const std::vector<RaftServer>& servers);
+
+    void start();
+    // To be called after each turn of the io_context, and after as long as it says at the latest. Throws
+    // std::runtime_error once the node can't go on.
+    Nanos turn();
+    // Ends what is out; the io_context is run meanwhile.
+    void close();
+
+    // Told once: true after the entry was applied here, false where it may or may not come to be.
+    using Done = std::function<void(bool applied)>;
+    // False, and `done` is never told, where this node does not lead.
+    bool propose(std::vector<std::uint8_t> bytes, Done done);
+    bool leads() const;
+    std::uint64_t leader() const;  // 0: none is known
+    std::uint64_t applied() const;
+    std::vector<RaftServer> servers() const;
+    // One change at a time. The words are empty once it is done.
+    using Changed = std::function<void(std::string wrong)>;
+    void add(const RaftServer& server, Changed changed);
+    void remove(std::uint64_t id, Changed changed);
+
+  private:
+    struct Proposal;
+    struct Change;
+
+    void open(const RaftTerms& terms);
+
+    boost::asio::io_context& io_;
+    LogMachine& machine_;
+    uv_loop_t loop_;
+    raft_uv_transport transport_{};
+    raft_io raft_io_{};
+    raft_fsm fsm_{};
+    raft raft_{};
+    std::string broken_;  // what ended it
+    bool started_ = false, closed_ = false;
+    std::unique_ptr<boost::asio::posix::stream_descriptor> backend_;
+    bool waits_ = false;
+};
+
+}  // namespace tealcart::steward
--- /dev/null
+++ b/src/steward/requests.cpp
@@ -0,0 +1,154 @@
+#include "steward/requests.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace tealcart::steward {
+namespace {
+
+using Json = nlohmann::ordered_json;
+constexpr Nanos ms = 1'000'000;
+
+bool take_text(const Json& in, const char* key, std::string& to, std::size_t longest) {
+    const auto it = in.find(key);
+    if (it == in.end()) return true;
+    if (!it->is_string()) return false;
+    to = it->get<std::string>();
+    return to.size() <= longest &&
+           std::all_of(to.begin(), to.end(), [](char c) { return c >= ' ' && c != 0x7f; });
+}
+
+Json out_of(const fleet::Target& t) { return {t.router ? "router" : "node", t.name}; }
+
+}  // namespace
+
+const char* word_of(fleet::Effect::Kind kind) {
+    static const char* const words[] = {"asked",  "refused", "granted", "done",  "returned", "ended",
+                                        "halted", "resumed", "over",    "stale", "forgotten"};
+    return words[kind];
+}
+
+const char* word_of(fleet::Stage stage) {
+    static const char* const words[] = {"queued", "granted", "done", "returning", "ended"};
+    return words[static_cast<int>(stage)];
+}
+
+const char* word_of(fleet::Health health) {
+    static const char* const words[] = {"whole", "draining", "cold", "gone", "unknown"};
+    return words[static_cast<int>(health)];
+}
+
+std::optional<OperatorCall> read_operator_call(std::string_view body, std::string& wrong) {
+    const Json in = Json::parse(body, nullptr, false);
+    const auto fail = [&wrong](const char* words) {
+        wrong = words;
+        return std::nullopt;
+    };
+    if (in.is_discarded() || !in.is_object()) return fail("the body is no JSON object");
+    OperatorCall call;
+    if (!take_text(in, "id", call.id, 128) || call.id.empty()) return fail("'id' is missing or malformed");
+    if (!take_text(in, "asker", call.asker, 128)) return fail("'asker' is malformed");
+    if (!take_text(in, "why", call.why, 512)) return fail("'why' is malformed");
+    if (!take_text(in, "zone", call.zone, 128)) return fail("'zone' is malformed");
+    if (!take_text(in, "name", call.name, 128)) return fail("'name' is malformed");
+    if (const auto targets = in.find("targets"); targets != in.end()) {
+        if (!targets->is_array() || targets->size() > 1000) return fail("'targets' is no list of up to 1000");
+        for (const Json& one : *targets) {
+            if (!one.is_array() || one.size() != 2 || !one[0].is_string() || !one[1].is_string() ||
+                (one[0] != "node" && one[0] != "router") || one[1].get<std::string>().size() > 128)
+                return fail("a target is no [\"node\" or \"router\", NAME]");
+            call.targets.push_back({one[0] == "router", one[1]});
+        }
+    }
+    if (const auto requests = in.find("requests"); requests != in.end()) {
+        if (!requests->is_array() || requests->size() > 1000)
+            return fail("'requests' is no list of up to 1000");
+        for (const Json& one : *requests) {
+            if (!one.is_number_unsigned()) return fail("a request is no number");
+            call.requests.push_back(one);
+        }
+    }
+    return call;
+}
+
+std::string write_effects(const std::vector<fleet::Effect>& effects) {
+    Json list = Json::array();
+    for (const fleet::Effect& e : effects) {
+        Json one = {{"what", word_of(e.kind)}};
+        if (e.request > 0) one["request"] = e.request;
+        if (e.fence > 0) one["fence"] = e.fence;
+        one["generation"] = e.generation;
+        if (!e.about.empty()) one["about"] = e.about;
+        if (!e.why.empty()) one["why"] = e.why;
+        list.push_back(std::move(one));
+    }
+    return Json{{"effects", list}}.dump();
+}
+
+std::string write_status(const fleet::FleetState& state, const StewardFigures& figures) {
+    Json out = {{"fleet", figures.fleet},
+                {"steward", figures.id},
+                {"leader", figures.leader},
+                {"leader_at", figures.leader_address},
+                {"applied", figures.applied},
+                {"generation", state.generation()},
+                {"halted", state.halted()},
+                {"halted_for", state.halted_for()},
+                {"held_for_ms", std::max<Nanos>(0, state.hold_until() - state.now()) / ms},
+                {"discovery_silent_ms", figures.discovery_silent / ms}};
+    Json requests = Json::array(), members = Json::array(), nodes = Json::array();
+    for (const auto& [id, r] : state.requests()) {
+        Json one = {{"request", id},       {"target", out_of(r.target)}, {"stage", word_of(r.stage)},
+                    {"asker", r.asker},    {"fence", r.fence},           {"generation", r.generation},
+                    {"held_by", r.held_by}};
+        one["waits_for"] = r.stage == fleet::Stage::granted ? state.waits_for(r) : std::vector<std::string>{};
+        one["unheard"] = r.unheard;
+        requests.push_back(std::move(one));
+    }
+    for (const auto& [name, m] : state.members())
+        members.push_back({{"name", name},
+                           {"role", m.role == fleet::Role::router ? "router" : "control"},
+                           {"zone", m.zone},
+                           {"version", m.version},
+                           {"digest", m.digest},
+                           {"life", m.life},
+                           {"acts_on", m.word.acts_on},
+                           {"lease_left_ms", (m.lease_until - state.now()) / ms},
+                           {"lost", m.lost},
+                           {"left", m.left},
+                           {"out", state.out({true, name})},
+                           {"queries", m.word.queries},
+                           {"failed", m.word.failed}});
+    for (const auto& [name, n] : state.nodes())
+        nodes.push_back({{"name", name},
+                         {"zone", n.zone},
+                         {"kind", n.kind},
+                         {"health", word_of(n.health)},
+                         {"out", state.out({false, name})},
+                         {"counts_as_out", state.counts_as_out({false, name})}});
+    out["requests"] = std::move(requests);
+    out["members"] = std::move(members);
+    out["nodes"] = std::move(nodes);
+    return out.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+fleet::Join join_of(const MemberCall& c) {
+    return {c.name,    c.role == "router" ? fleet::Role::router : fleet::Role::control,
+            c.zone,    c.version,
+            c.digest,  c.life,
+            c.serve_on};
+}
+
+fleet::Renew renew_of(const MemberCall& c) {
+    fleet::Renew r{c.name, c.life, {c.acts_on, {}, {c.silent.begin(), c.silent.end()}, c.queries, c.failed}};
+    for (const TargetName& t : c.in_hand) r.word.in_hand.insert({t.router, t.name});
+    return r;
+}
+
+MemberAnswer answer_of(const fleet::FleetState& state) {
+    MemberAnswer a{state.generation(), state.budgets().lease, {}, state.halted()};
+    for (const auto& [target, request] : state.all_out()) a.out.push_back({target.router, target.name});
+    return a;
+}
+
+}  // namespace tealcart::steward
--- /dev/null
+++ b/src/steward/requests.hpp
@@ -0,0 +1,44 @@
+// What operators and their tools ask of the stewards, as JSON bodies, and what they are told. Pure functions.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fleet/fleet_state.hpp"
+#include "wire/member_words.hpp"
+
+namespace tealcart::steward {
+
+// A request that may be said again under the same id, to any steward, and is one.
+struct OperatorCall {
+    std::string id, asker, why;
+    std::vector<fleet::Target> targets;
+    std::string zone;  // in place of targets: all data nodes of it
+    std::vector<std::uint64_t> requests;
+    std::string name;
+};
+std::optional<OperatorCall> read_operator_call(std::string_view body, std::string& wrong);
+
+struct StewardFigures {
+    std::uint64_t id = 0, leader = 0, applied = 0;
+    std::string fleet, leader_address;
+    std::size_t waiting = 0;  // members' calls
+    Nanos discovery_silent = 0;
+};
+
+// The whole agreed state for people and tools.
+std::string write_status(const fleet::FleetState& state, const StewardFigures& figures);
+std::string write_effects(const std::vector<fleet::Effect>& effects);
+
+const char* word_of(fleet::Effect::Kind kind);
+const char* word_of(fleet::Stage stage);
+const char* word_of(fleet::Health health);
+
+// What a member's call says, as commands.
+fleet::Join join_of(const MemberCall& call);
+fleet::Renew renew_of(const MemberCall& call);
+MemberAnswer answer_of(const fleet::FleetState& state);
+
+}  // namespace tealcart::steward
--- /dev/null
+++ b/src/steward/steward.cpp
@@ -0,0 +1,297 @@
+#include "steward/steward.hpp"
+
+#include <algorithm>
+#include <csignal>
+
+#include "service/log.hpp"
+
+namespace tealcart::steward {
+namespace {
+
+constexpr Nanos ms = 1'000'000, second = 1000 * ms;
+constexpr Nanos words_wait = 5 * ms;      // of members' words for others that come at the same time
+constexpr std::size_t most_words = 2000;  // in one entry of the log
+constexpr std::size_t most_clients = 20'000;
+constexpr Nanos stall = 5 * second, view_every = 100 * ms;
+constexpr int handlers_a_turn = 4096;
+enum Due : std::uint64_t { flush };
+
+}  // namespace
+
+Steward::Steward(boost::asio::io_context& io, const StewardTerms& terms, std::uint64_t id,
+                 const Launch& launch, Nanos clock_error)
+    : io_(io), signals_(io, SIGTERM, SIGINT), terms_(terms), id_(id), clock_error_(clock_error),
+      tick_every_(std::min(250 * ms, terms.budgets.lease / 20)), state_(terms.budgets), view_(launch.terms),
+      front_(io, time_, *this, most_clients, stall),
+      watch_(io, time_, *this, launch.discovery, static_cast<std::uint32_t>(launch.terms.places)),
+      raft_(io,
+            {id, terms.stewards.at(id).raft, terms.stewards.at(id).bind, terms.stewards.at(id).folder,
+             terms.election},
+            *this),
+      timer_(io) {
+    const OneSteward& self = terms_.stewards.at(id);
+    raft_.start();
+    front_.listen(self.http.host, self.http.port);
+    TargetList known = launch.known;
+    watch_.start(known.generation);
+    signals_.async_wait([this](const boost::system::error_code& ec, int) {
+        if (!ec) stop_began_ = time_.now();
+    });
+    log_line("steward %llu of %s: members and operators at %s:%u, generation %llu",
+             static_cast<unsigned long long>(id), terms_.fleet.c_str(), self.http.host.c_str(), front_.port(),
+             static_cast<unsigned long long>(state_.generation()));
+}
+
+void Steward::run() {
+    Nanos wait = 0;
+    while (stop_began_ == 0) {
+        set_timer(std::min(time_.due.next(), time_.now() + std::min(wait, tick_every_)));
+        io_.run_one();
+        for (int i = 0; i < handlers_a_turn && io_.poll_one() > 0; ++i) {
+        }
+        time_.due.tell(time_.now());
+        lead();
+        wait = raft_.turn();
+        tell_waiting();
+    }
+    log_line("stopping");
+    front_.close_all();
+    watch_.stop();
+    raft_.close();
+}
+
+// Set anew only for an earlier time: one that is put off would wake the loop for nothing.
+void Steward::set_timer(Nanos at) {
+    at = std::max(at, time_.now());
+    if (timer_at_ != Deadlines::never && timer_at_ <= at) return;
+    timer_at_ = at;
+    timer_.expires_at(time_.steady(at));
+    timer_.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec) timer_at_ = Deadlines::never;
+    });
+}
+
+std::string Steward::leader_address() const {
+    const auto it = terms_.stewards.find(raft_.leader());
+    return it == terms_.stewards.end() ? std::string()
+                                       : it->second.http.host + ":" + std::to_string(it->second.http.port);
+}
+
+void Steward::refuse(Handle client, int status, std::string_view words) {
+    front_.answer(client, {status, write_error(words), 0});
+}
+
+void Steward::send_elsewhere(Handle client) {
+    const std::string leader = leader_address();
+    if (leader.empty() || raft_.leader() == id_) return refuse(client, 503, "no steward leads now");
+    front_.answer(client, {421, write_elsewhere(leader), 0});
+}
+
+void Steward::on_request(Handle client, Request& request, Nanos) {
+    const std::string_view path = request.path;
+    if (path == "/-/ready" || path == "/fleet/status") {
+        if (request.method != "GET") return front_.answer(client, {405, write_error("GET only"), 0, "GET"});
+        if (path == "/-/ready")
+            return raft_.leader() == 0 ? refuse(client, 503, "no steward leads now")
+                                       : front_.answer(client, {200, {}, 0});
+        const StewardFigures figures{id_,
+                                     raft_.leader(),
+                                     raft_.applied(),
+                                     terms_.fleet,
+                                     leader_address(),
+                                     waiting_.size(),
+                                     view_.stale(time_.now()) ? 45 * second : 0};
+        return front_.answer(client, {200, write_status(state_, figures), 0});
+    }
+    constexpr std::string_view before = "/fleet/";
+    if (path.substr(0, before.size()) != before) return refuse(client, 404, "no such path");
+    if (request.method != "POST") return front_.answer(client, {405, write_error("POST only"), 0, "POST"});
+    if (path == member_path) return on_member(client, request.body);
+    on_operator(client, path.substr(before.size()), request.body);
+}
+
+// Words that come within a few ms go into the log as one entry.
+void Steward::on_member(Handle client, const std::string& body) {
+    std::string wrong;
+    auto call = read_member_call(body, wrong);
+    if (!call) return refuse(client, 400, wrong);
+    if (!raft_.leads()) return send_elsewhere(client);
+    const auto known = state_.members().find(call->name);
+    if (known != state_.members().end() && known->second.life > call->life)
+        return front_.answer(client, {409, write_outlived(known->second.life), 0});
+    if (call->leaves) {
+        propose({{"", 0, fleet::Leave{call->name, call->life}}}, [this, client](bool agreed, auto) {
+            if (!agreed) return refuse(client, 503, "not agreed");
+            front_.answer(client, {200, write_member_answer(answer_of(state_)), 0});
+        });
+        return;
+    }
+    const fleet::Join join = join_of(*call);
+    const bool same = known != state_.members().end() && known->second.life == join.life &&
+                      known->second.version == join.version && known->second.digest == join.digest &&
+                      known->second.zone == join.zone && known->second.serve_on == join.serve_on &&
+                      known->second.role == join.role;
+    if (!same) batch_.words.joins.push_back(join);
+    batch_.words.renewals.push_back(renew_of(*call));
+    batch_.calls.emplace_back(client, std::move(*call));
+    if (batch_.calls.size() >= most_words) return flush_words();
+    if (flush_due_ == Deadlines::none)
+        flush_due_ = time_.due.add(time_.now() + words_wait, *this, Handle{}, flush);
+}
+
+void Steward::on_due(Handle, std::uint64_t) {
+    flush_due_ = Deadlines::none;
+    flush_words();
+}
+
+void Steward::flush_words() {
+    time_.due.drop(flush_due_);
+    Batch batch = std::exchange(batch_, {});
+    if (batch.calls.empty()) return;
+    auto calls = std::make_shared<decltype(batch.calls)>(std::move(batch.calls));
+    propose({{"", 0, std::move(batch.words)}}, [this, calls](bool agreed, auto) {
+        for (const auto& [client, call] : *calls) {
+            if (!agreed) {
+                send_elsewhere(client);
+                continue;
+            }
+            const auto known = state_.members().find(call.name);
+            if (known != state_.members().end() && known->second.life > call.life)
+                front_.answer(client, {409, write_outlived(known->second.life), 0});
+            else
+                waiting_[client.slot] = {client, {call.knows, time_.now() + call.wait, true}};
+        }
+    });
+}
+
+void Steward::tell_waiting() {
+    const Nanos now = time_.now();
+    std::string body;  // the same for all
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+        const auto& [client, w] = it->second;
+        // What a member knows may also be of a steward that was ahead: then it waits its time.
+        if (state_.generation() <= w.knows && now < w.until) {
+            ++it;
+            continue;
+        }
+        if (body.empty()) body = write_member_answer(answer_of(state_));
+        const Handle to = client;
+        it = waiting_.erase(it);
+        front_.answer(to, {200, body, 0});
+    }
+}
+
+void Steward::on_operator(Handle client, std::string_view what, const std::string& body) {
+    std::string wrong;
+    const auto call = read_operator_call(body, wrong);
+    if (!call) return refuse(client, 400, wrong);
+    if (!raft_.leads()) return send_elsewhere(client);
+    std::vector<fleet::Command> commands;
+    const auto add = [&](auto command) {
+        commands.push_back({call->id + "/" + std::to_string(commands.size()), 0, std::move(command)});
+    };
+    if (what == "ask") {
+        std::vector<fleet::Target> targets = call->targets;
+        if (!call->zone.empty())
+            for (const auto& [name, node] : state_.nodes())
+                if (node.zone == call->zone) targets.push_back({false, name});
+        if (targets.empty()) return refuse(client, 404, "no such target is known");
+        for (const fleet::Target& t : targets)
+            commands.push_back(
+                {call->id + "/" + (t.router ? "router/" : "node/") + t.name, 0, fleet::Ask{call->asker, t}});
+    } else if (what == "undo") {
+        std::vector<std::uint64_t> requests = call->requests;
+        for (const auto& [id, r] : state_.requests()) {
+            const auto node = r.target.router ? state_.nodes().end() : state_.nodes().find(r.target.name);
+            const bool of_zone =
+                !call->zone.empty() && node != state_.nodes().end() && node->second.zone == call->zone;
+            if (of_zone ||
+                std::find(call->targets.begin(), call->targets.end(), r.target) != call->targets.end())
+                requests.push_back(id);
+        }
+        if (requests.empty()) return refuse(client, 404, "no request for it is open");
+        for (const std::uint64_t id : requests)
+            commands.push_back({call->id + "/" + std::to_string(id), 0, fleet::Undo{id}});
+    } else if (what == "halt") {
+        add(fleet::Halt{call->why.empty() ? "by " + call->asker : call->why});
+    } else if (what == "resume") {
+        add(fleet::Resume{});
+    } else if (what == "forget") {
+        add(fleet::Forget{call->name});
+    } else if (what == "stewards/add" || what == "stewards/remove") {
+        if (changing_) return refuse(client, 409, "another change of the stewards is under way");
+        const std::uint64_t id = call->requests.empty() ? 0 : call->requests.front();
+        if (id == 0) return refuse(client, 400, "'requests' names no steward's id");
+        const auto done = [this, client](const std::string& failed) {
+            changing_ = false;
+            if (!failed.empty()) return refuse(client, 409, failed);
+            front_.answer(client, {200, "{}", 0});
+        };
+        changing_ = true;
+        if (what == "stewards/remove") return raft_.remove(id, done);
+        if (!read_host_port(call->name)) {
+            changing_ = false;
+            return refuse(client, 400, "'name' is no address with a port");
+        }
+        return raft_.add({id, call->name}, done);
+    } else {
+        return refuse(client, 404, "no such path");
+    }
+    propose(std::move(commands), [this, client](bool agreed, const std::vector<fleet::Effect>& effects) {
+        if (!agreed) return refuse(client, 503, "not agreed: ask again, under the same id");
+        front_.answer(client, {200, write_effects(effects), 0});
+    });
+}
+
+void Steward::propose(std::vector<fleet::Command> commands, Told told) {
+    struct All {
+        std::size_t left;
+        bool agreed = true;
+        std::vector<fleet::Effect> effects;
+        Told told;
+    };
+    auto all = std::make_shared<All>(All{commands.size(), true, {}, std::move(told)});
+    const auto ended = [this, all](bool applied) {
+        all->agreed &= applied;
+        if (applied) all->effects.insert(all->effects.end(), last_effects_.begin(), last_effects_.end());
+        if (--all->left == 0) all->told(all->agreed, std::move(all->effects));
+    };
+    for (fleet::Command& c : commands) {
+        c.at = time_.now() + clock_error_;
+        proposed_at_ = time_.now();
+        if (!raft_.propose(fleet::write_command(c), ended)) ended(false);
+    }
+}
+
+void Steward::apply(const std::uint8_t* bytes, std::size_t size) {
+    const fleet::Command command = fleet::read_command(bytes, size);
+    last_effects_ = state_.apply(command);
+    for (const fleet::Effect& e : last_effects_)
+        log_line("%s: request %llu fence %llu generation %llu %s%s%s", word_of(e.kind),
+                 static_cast<unsigned long long>(e.request), static_cast<unsigned long long>(e.fence),
+                 static_cast<unsigned long long>(e.generation), e.about.c_str(), e.why.empty() ? "" : ": ",
+                 e.why.c_str());
+}
+
+// What only the one that leads does: time goes on, the data nodes as discovery tells of them, the budgets of
+// its own file.
+void Steward::lead() {
+    const std::uint64_t leader = raft_.leader();
+    if (std::exchange(led_by_, leader) != leader)
+        log_line(leader == 0 ? "no steward leads" : "steward %llu leads",
+                 static_cast<unsigned long long>(leader));
+    if (!raft_.leads()) return;
+    const Nanos now = time_.now();
+    const auto nothing = [](bool, auto) {};
+    if (now - view_at_ >= view_every && !proposing_view_) {
+        view_at_ = now;
+        if (!(state_.budgets() == terms_.budgets)) propose({{"", 0, fleet::Allow{terms_.budgets}}}, nothing);
+        if (auto news = view_.news(state_, now)) {
+            proposing_view_ = true;
+            propose({{"", 0, std::move(*news)}}, [this](bool, auto) { proposing_view_ = false; });
+        }
+    }
+    if (now - proposed_at_ >= tick_every_) propose({{"", 0, fleet::Tick{}}}, nothing);
+}
+
+}  // namespace tealcart::steward
--- a/src/tables/slots.hpp
+++ b/src/tables/slots.hpp
@@ -57,6 +57,11 @@
         for (std::uint32_t slot = 0; slot < cells_.size(); ++slot)
             if (cells_[slot].value) see(Handle{slot, cells_[slot].life}, *cells_[slot].value);
     }
+    template <typename See>
+    void each(See&& see) const {
+        for (std::uint32_t slot = 0; slot < cells_.size(); ++slot)
+            if (cells_[slot].value) see(Handle{slot, cells_[slot].life}, *cells_[slot].value);
+    }
 
   private:
     struct Cell {
--- a/src/terms/operator_terms.cpp
+++ b/src/terms/operator_terms.cpp
@@ -51,6 +51,35 @@
     return t;
 }
 
+MemberTerms read_member(const HclBlock& block, std::vector<HclMistake>& mistakes) {
+    BlockReader in(block, mistakes);
+    in.no_label();
+    MemberTerms t;
+    t.on = true;
+    const auto name = [&](const char* attribute) {
+        std::string text = in.text(attribute, "");
+        if (text.size() > 128 ||
+            !std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 0x7f; }))
+            in.wrong(block.at,
+                     std::string("'") + attribute + "' is no name of up to 128 letters without blanks");
+        return text;
+    };
+    t.name = name("name");
+    t.zone = name("zone");
+    for (const std::string& steward : in.texts("stewards")) {
+        if (const auto address = read_host_port(steward))
+            t.stewards.push_back(*address);
+        else
+            in.wrong(block.at, "the steward '" + steward + "' is no address with a port");
+    }
+    if (t.stewards.empty()) in.wrong(block.at, "'stewards' names none");
+    t.serve_on = in.span("serve_on", t.serve_on, 0, 365 * 24 * 3600 * second);
+    t.then_stop = in.choice("then", 0, {"leave", "stop"}) == 1;
+    t.first_word = in.span("first_word", t.first_word, 0, 3600 * second);
+    in.finish();
+    return t;
+}
+
 }  // namespace
 
 OperatorTerms read_operator_terms(std::string_view text, std::string_view source) {
@@ -77,6 +106,7 @@
         of.finish();
     }
     if (const HclBlock* control = in.only_block("control")) terms.control = read_control(*control, mistakes);
+    if (const HclBlock* member = in.only_block("member")) terms.member = read_member(*member, mistakes);
     if (const HclBlock* calls = in.only_block("calls")) {
         BlockReader of(*calls, mistakes);
         of.no_label();
--- a/src/terms/operator_terms.hpp
+++ b/src/terms/operator_terms.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "control/control_terms.hpp"
+#include "members/member_terms.hpp"
 #include "phases/phase_terms.hpp"
 #include "terms/hcl.hpp"
 #include "terms/terms_text.hpp"
@@ -40,6 +41,7 @@
     MemoryTerms memory;
     ControlTerms control;
     CallTerms calls;
+    MemberTerms member;
     std::vector<StatedPhases> phases;
 };
 
