--- a/src/service/main.cpp
+++ b/src/service/main.cpp
@@ -5,6 +5,7 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <exception>
 #include <filesystem>
 #include <fstream>
@@ -79,19 +80,26 @@
 }
 
 // Programs with libraries of their own stand beside this one.
-int run_beside(const std::string& name, int argc, char** argv) {
+int run_beside(const char* name, const char* option, char** words) {
     const auto path = std::filesystem::read_symlink("/proc/self/exe").parent_path() / name;
-    std::vector<char*> words(argv + 1, argv + argc);
-    words.push_back(nullptr);
-    ::execv(path.c_str(), words.data());
-    std::fprintf(stderr, "tealcart: %s is not built (TEALCART_CONTROL)\n", path.c_str());
+    ::execv(path.c_str(), words);
+    std::fprintf(stderr, "tealcart: %s is not built (%s)\n", path.c_str(), option);
     return 1;
 }
 
+// Does not come back where the first word is another program's.
+void run_if_beside(char** argv) {
+    const std::string_view word = argv[1];
+    if (word == "control") std::exit(run_beside("tealcart-control", "TEALCART_CONTROL", argv + 1));
+    if (word == "steward") std::exit(run_beside("tealcart-steward", "TEALCART_FLEET", argv + 1));
+    for (const char* of_fleet : {"drain", "undrain", "halt", "resume", "fleet"})
+        if (word == of_fleet) std::exit(run_beside("tealcart-fleet", "TEALCART_FLEET", argv));
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-    if (argc > 1 && std::string_view(argv[1]) == "control") return run_beside("tealcart-control", argc, argv);
+    if (argc > 1) run_if_beside(argv);
     CLI::App app("tealcart: a co-ordinator of queries over replicated shards");
     app.name("tealcart");
     Asked asked;
@@ -121,6 +129,9 @@
     migrating->add_flag("--dry-run", asked.dry_run,
                         "print the new file and what stays behind; write nothing");
     app.add_subcommand("control", "hand decisions to other proxies over xDS; see tealcart control --help");
+    app.add_subcommand("steward", "keep what a fleet agrees on; see tealcart steward --help");
+    for (const char* of_fleet : {"drain", "undrain", "halt", "resume", "fleet"})
+        app.add_subcommand(of_fleet, "ask a fleet's stewards; see --help of it");
     CLI::App* telling = app.add_subcommand("version", "print the version");
     CLI::App* completing = app.add_subcommand("completion", "print a completion script for a shell");
     completing->add_option("SHELL", asked.shell, "bash, zsh or fish")
--- /dev/null
+++ b/src/steward/asker.cpp
@@ -0,0 +1,81 @@
+#include "steward/asker.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <thread>
+
+#include "wire/http.hpp"
+#include "wire/member_words.hpp"
+
+namespace tealcart::steward {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t longest_answer = 64 * 1024 * 1024;
+constexpr auto one_try = std::chrono::milliseconds(1500), pause = std::chrono::milliseconds(50);
+
+}  // namespace
+
+Reply ask_once(const HostPort& at, const std::string& path, const std::string& body,
+               std::chrono::milliseconds within) {
+    boost::asio::io_context io(1);
+    tcp::socket socket(io);
+    AnswerReader reader(longest_answer);
+    std::string out = body.empty()
+                          ? write_get(at.host, path)
+                          : "POST " + path + " HTTP/1.1\r\nHost: " + at.host +
+                                "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    std::string in;
+    std::array<char, 16384> buffer;
+    Reply reply;
+    std::function<void()> read = [&] {
+        socket.async_read_some(boost::asio::buffer(buffer), [&](const error_code& ec, std::size_t n) {
+            if (ec) return;
+            in.append(buffer.data(), n);
+            const Reading reading = reader.feed(in);
+            if (reading == Reading::more) return read();
+            if (reading == Reading::done) reply = {reader.status(), reader.body()};
+        });
+    };
+    error_code ec;
+    const auto host = boost::asio::ip::make_address(at.host, ec);
+    if (ec) return reply;
+    socket.async_connect({host, at.port}, [&](const error_code& failed) {
+        if (failed) return;
+        boost::asio::async_write(socket, boost::asio::buffer(out), [&](const error_code& e, std::size_t) {
+            if (!e) read();
+        });
+    });
+    io.run_for(within);
+    return reply;
+}
+
+Reply ask_stewards(const std::vector<HostPort>& stewards, const std::string& path, const std::string& body,
+                   std::chrono::milliseconds within) {
+    const auto until = Clock::now() + within;
+    Reply last;
+    for (std::size_t at = 0; Clock::now() < until;) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - Clock::now());
+        const Reply reply = ask_once(stewards[at], path, body, std::min(left, one_try));
+        if (reply.status == 200 || (reply.status >= 400 && reply.status < 410)) return reply;
+        if (reply.status != 0) last = reply;
+        at = (at + 1) % stewards.size();
+        if (reply.status == 421)
+            if (const auto leader = read_elsewhere(reply.body)) {
+                const auto named = read_host_port(*leader);
+                const auto found = std::find(stewards.begin(), stewards.end(), named.value_or(HostPort{}));
+                if (found != stewards.end()) at = static_cast<std::size_t>(found - stewards.begin());
+            }
+        std::this_thread::sleep_for(pause);
+    }
+    return {0, last.body};
+}
+
+}  // namespace tealcart::steward
--- a/src/steward/steward.cpp
+++ b/src/steward/steward.cpp
@@ -31,7 +31,7 @@
       timer_(io) {
     const OneSteward& self = terms_.stewards.at(id);
     raft_.start();
-    front_.listen(self.http.host, self.http.port);
+    front_.listen(self.http_bind.host, self.http_bind.port);
     TargetList known = launch.known;
     watch_.start(known.generation);
     signals_.async_wait([this](const boost::system::error_code& ec, int) {
--- a/src/steward/steward_terms.cpp
+++ b/src/steward/steward_terms.cpp
@@ -44,6 +44,8 @@
     s.raft = address("raft", true).first;
     s.bind = address("bind", false).first;
     s.http = address("http", true).second;
+    s.http_bind = address("http_bind", false).second;
+    if (s.http_bind.port == 0) s.http_bind = s.http;
     s.folder = in.text("folder", "");
     if (s.folder.empty()) in.wrong(block.at, "'folder' is not stated");
     for (const auto& [other, of] : terms.stewards)
--- a/src/steward/steward_terms.hpp
+++ b/src/steward/steward_terms.hpp
@@ -14,7 +14,7 @@
 
 struct OneSteward {
     std::string raft, bind, folder;  // where the others reach it; where it listens, if elsewhere
-    HostPort http;                   // where members and operators reach it
+    HostPort http, http_bind;        // where members and operators reach it; where it listens
 };
 
 struct StewardTerms {
