--- a/src/members/member_lease.cpp
+++ b/src/members/member_lease.cpp
@@ -27,17 +27,17 @@
         life_ = std::max(life_, last_life) + 1;
 }
 
-// One that never heard a steward counts from its start.
+// One that never heard a steward counts from its start: they may have taken it in all the same.
 Nanos MemberLease::alone_until() const {
-    const Nanos from = lease_until_ > 0 ? lease_until_ : started_ + first_word_;
+    const Nanos from = lease_until_ > 0 ? lease_until_ : started_;
     return serve_on_ > never - from ? never : from + serve_on_;
 }
 
 Standing MemberLease::standing(Nanos now) const {
     if (followed_) return Standing::cut;
     if (lease_until_ > 0 && now < lease_until_) return Standing::member;
-    if (now >= alone_until()) return Standing::cut;
-    return lease_until_ == 0 && now < started_ + first_word_ ? Standing::unheard : Standing::alone;
+    if (lease_until_ == 0 && now < started_ + first_word_) return Standing::unheard;
+    return now >= alone_until() ? Standing::cut : Standing::alone;
 }
 
 bool MemberLease::ready(Nanos now) const {
@@ -45,13 +45,12 @@
     return s == Standing::member || s == Standing::alone;
 }
 
-bool MemberLease::admits(Nanos now) const {
-    return !followed_ && (!then_stop_ || standing(now) != Standing::cut);
-}
+bool MemberLease::admits(Nanos now) const { return !followed_ && now < no_calls_after(now); }
 
-Nanos MemberLease::no_calls_after() const {
+Nanos MemberLease::no_calls_after(Nanos now) const {
     if (followed_) return 0;
-    return then_stop_ ? alone_until() : never;
+    if (!then_stop_) return never;
+    return standing(now) == Standing::unheard ? 0 : alone_until();
 }
 
 Nanos MemberLease::next_change(Nanos now) const {
--- a/src/members/member_lease.hpp
+++ b/src/members/member_lease.hpp
@@ -32,7 +32,7 @@
     bool ready(Nanos now) const;
     bool admits(Nanos now) const;
     // No leaf call is written after this; INT64_MAX: none such.
-    Nanos no_calls_after() const;
+    Nanos no_calls_after(Nanos now) const;
     // When what the above tell may change next without any word; INT64_MAX: never.
     Nanos next_change(Nanos now) const;
 
--- a/src/service/membership.cpp
+++ b/src/service/membership.cpp
@@ -50,10 +50,10 @@
         log_line("member %s, life %llu: %s", name_.c_str(), static_cast<unsigned long long>(lease_.life()),
                  standings[static_cast<int>(standing)]);
     standing_ = standing;
-    const bool cut = now >= lease_.no_calls_after();
+    const bool cut = now >= lease_.no_calls_after(now);
     if (cut != cut_) hand_on(list_.cut(cut));
     cut_ = cut;
-    bridge_.take_standing({lease_.ready(now) && !out_, lease_.admits(now), lease_.no_calls_after()});
+    bridge_.take_standing({lease_.ready(now) && !out_, lease_.admits(now), lease_.no_calls_after(now)});
 }
 
 void Membership::after_round() {
--- a/src/standin/client.cpp
+++ b/src/standin/client.cpp
@@ -72,11 +72,15 @@
         }
         return true;
     });
+    connection_->on_end = [this] { done_({}); };
     connection_->read();
 }
 
 void Client::ask(const Asking& asking) { connection_->send(request_of(asking)); }
 
-void Client::leave() { connection_->close(false); }
+void Client::leave() {
+    connection_->on_end = nullptr;
+    connection_->close(false);
+}
 
 }  // namespace tealcart::standin
--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -56,6 +56,7 @@
     error_code ec;
     if (reset) socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
     socket.close(ec);
+    if (const auto told = std::exchange(on_end, nullptr)) told();
 }
 
 Door::Door(boost::asio::io_context& io, std::uint16_t port, std::function<Connection::Take()> make)
--- a/src/standin/fleet.hpp
+++ b/src/standin/fleet.hpp
@@ -34,6 +34,7 @@
     Socket socket;
     std::string in;
     bool open = true;
+    std::function<void()> on_end;  // once it is closed, by whichever side
 
   private:
     void write();
--- /dev/null
+++ b/src/standin/fleet_rig.hpp
@@ -0,0 +1,84 @@
+// A whole fleet of processes: stewards, query routers, and in the rig's own process the data nodes (which are
+// the observer outside: they see what really reaches them), discovery and clients with steady traffic.
+#pragma once
+
+#include <deque>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "standin/client.hpp"
+#include "standin/fleet.hpp"
+#include "standin/rig.hpp"
+
+namespace tealcart::standin {
+
+struct RigPlan {
+    std::string programs;  // folder of the built programs
+    std::size_t stewards = 3, routers = 6, nodes = 12;
+    std::string lease = "2s", drift = "300ms", election = "300ms";
+    std::string budgets;     // blocks of the stewards' file
+    std::string member;      // further attributes of the routers' member block
+    bool membership = true;  // routers are members
+    int gap_ms = 20;         // between two queries of a client; each router has one
+};
+
+// Leaf calls as data nodes saw them.
+struct SeenCall {
+    Moment at;
+    std::size_t node = 0;
+};
+
+class FleetRig {
+  public:
+    FleetRig(boost::asio::io_context& io, RigPlan plan);
+    ~FleetRig();
+
+    // Runs until it holds; false after so long.
+    bool until(const std::function<bool()>& holds,
+               std::chrono::milliseconds within = std::chrono::seconds(20));
+    void run_for(std::chrono::milliseconds span);
+
+    void start_steward(std::size_t i, std::vector<std::string> more = {});
+    void start_router(std::size_t i);
+    void stop_traffic() { traffic_ = false; }
+    bool all_up();
+
+    // As a steward has it, asked past all relays; null where it does not answer.
+    nlohmann::json status(std::size_t steward) const;
+    std::size_t leader() const;  // the one that says so; the number of stewards: none
+    nlohmann::json leading() const;
+    nlohmann::json request_for(const std::string& node) const;  // of the leader; null: none is open
+    // An operator's command, through these stewards in this order.
+    std::unique_ptr<Process> command(std::vector<std::string> words, std::vector<std::size_t> through);
+
+    // What is said between this steward and the others, in both directions or only by it.
+    void cut_off(std::size_t steward, bool inbound = true, bool outbound = true);
+    // Between a router and all stewards.
+    void deafen(std::size_t router, bool to, bool from);
+    void heal();
+
+    boost::asio::io_context& io;
+    const RigPlan plan;
+    History history;
+    Folder folder;
+    std::vector<std::unique_ptr<Process>> stewards, routers;
+    std::unique_ptr<Fleet> fleet;
+    std::vector<SeenCall> calls;
+    std::map<int, std::uint64_t> answers;  // of clients, by status; 0: the connection ended without one
+
+  private:
+    struct Asker {
+        std::unique_ptr<Client> client;
+        std::unique_ptr<boost::asio::steady_timer> timer;
+        std::uint64_t asked = 0;
+    };
+    void ask(std::size_t router);
+
+    std::vector<std::uint16_t> raft_, http_, http_real_, serve_;
+    std::vector<std::unique_ptr<Relay>> raft_relays_, http_relays_;
+    std::string fleet_file_;
+    std::deque<Asker> askers_;
+    bool traffic_ = true;
+};
+
+}  // namespace tealcart::standin
--- /dev/null
+++ b/src/standin/rig.cpp
@@ -0,0 +1,245 @@
+#include "standin/rig.hpp"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/write.hpp>
+#include <csignal>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+#include "terms/host_port.hpp"
+
+extern char** environ;
+
+namespace tealcart::standin {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+void History::note(const std::string& who, const std::string& what) {
+    events.push_back({std::chrono::steady_clock::now(), who, what});
+}
+
+std::string History::text(std::size_t last) const {
+    std::string out;
+    for (std::size_t i = events.size() > last ? events.size() - last : 0; i < events.size(); ++i) {
+        char at[32];
+        std::snprintf(at, sizeof at, "%9.3f ", std::chrono::duration<double>(events[i].at - began).count());
+        out.append(at).append(events[i].who).append(": ").append(events[i].what).append("\n");
+    }
+    return out;
+}
+
+Process::Process(boost::asio::io_context& io, History& history, std::string name,
+                 std::vector<std::string> command, std::vector<std::string> environment)
+    : history_(history), name_(std::move(name)), buffer_(std::make_shared<std::array<char, 4096>>()) {
+    int ends[2];
+    if (::pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+    std::vector<char*> words, variables;
+    for (std::string& w : command) words.push_back(w.data());
+    words.push_back(nullptr);
+    for (std::string& v : environment) variables.push_back(v.data());
+    for (char** v = environ; *v != nullptr; ++v)
+        if (std::strncmp(*v, "TEALCART_", 9) != 0 && std::strncmp(*v, "ROUTER_", 7) != 0)
+            variables.push_back(*v);
+    variables.push_back(nullptr);
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_adddup2(&files, ends[1], 1);
+    posix_spawn_file_actions_adddup2(&files, ends[1], 2);
+    const int rv = ::posix_spawn(&pid_, words[0], &files, nullptr, words.data(), variables.data());
+    posix_spawn_file_actions_destroy(&files);
+    ::close(ends[1]);
+    if (rv != 0) throw std::runtime_error(command[0] + " can't be started: " + std::strerror(rv));
+    output_ = std::make_shared<boost::asio::posix::stream_descriptor>(io, ends[0]);
+    history_.note(name_, "started");
+    read();
+}
+
+Process::~Process() {
+    if (!ended()) {
+        signal(SIGKILL);
+        ::waitpid(pid_, nullptr, 0);
+    }
+    error_code ec;
+    output_->close(ec);
+}
+
+void Process::read() {
+    output_->async_read_some(boost::asio::buffer(*buffer_), [this, keep = output_, bytes = buffer_](
+                                                                const error_code& ec, std::size_t n) {
+        if (ec == boost::asio::error::operation_aborted) return;
+        part_.append(bytes->data(), n);
+        for (std::size_t end = 0; (end = part_.find('\n')) != part_.npos; part_.erase(0, end + 1)) {
+            lines_.push_back(part_.substr(0, end));
+            history_.note(name_, lines_.back());
+        }
+        if (!ec) read();
+    });
+}
+
+void Process::signal(int which) {
+    if (ended()) return;
+    history_.note(name_, std::string("gets SIG") + ::sigabbrev_np(which));
+    ::kill(pid_, which);
+}
+
+bool Process::ended() {
+    int status = 0;
+    if (!over_ && ::waitpid(pid_, &status, WNOHANG) == pid_) {
+        over_ = true;
+        status_ = WIFEXITED(status) ? WEXITSTATUS(status) : 1000 + WTERMSIG(status);
+        history_.note(name_, "ended with " + std::to_string(status_));
+    }
+    return over_;
+}
+
+bool Process::said(const std::string& words) const {
+    for (const std::string& line : lines_)
+        if (line.find(words) != line.npos) return true;
+    return false;
+}
+
+struct Relay::Pair {
+    Pair(boost::asio::io_context& io, tcp::socket from) : sockets{std::move(from), tcp::socket(io)} {}
+
+    std::array<tcp::socket, 2> sockets;  // who connected, and the process
+    std::array<std::array<char, 16384>, 2> buffers;
+    std::string first, tag;
+    bool spoilt = false, closed = false;
+};
+
+namespace {
+
+tcp::endpoint endpoint_of(const std::string& text) {
+    const auto at = read_host_port(text);
+    if (!at) throw std::runtime_error(text + " is no address");
+    return {boost::asio::ip::make_address(at->host), at->port};
+}
+
+}  // namespace
+
+Relay::Relay(boost::asio::io_context& io, const std::string& listen, const std::string& target, Tag tag)
+    : io_(io), acceptor_(io, endpoint_of(listen)), target_(endpoint_of(target)), tag_(std::move(tag)) {
+    accept();
+}
+
+Relay::~Relay() { reset_all(); }
+
+void Relay::accept() {
+    acceptor_.async_accept([this](const error_code& ec, tcp::socket socket) {
+        if (ec == boost::asio::error::operation_aborted) return;
+        if (!ec) {
+            auto pair = std::make_shared<Pair>(io_, std::move(socket));
+            std::erase_if(pairs_, [](const auto& p) { return p.expired(); });
+            pairs_.push_back(pair);
+            pair->sockets[1].async_connect(target_, [this, pair](const error_code& failed) {
+                if (failed || pair->closed) return close(*pair);
+                error_code ignored;
+                for (tcp::socket& s : pair->sockets) s.set_option(tcp::no_delay(true), ignored);
+                pump(pair, true);
+                pump(pair, false);
+            });
+        }
+        accept();
+    });
+}
+
+bool Relay::lost(Pair& pair, bool to) const {
+    for (const std::string& tag : {pair.tag, std::string()}) {
+        const auto it = faults_.find(tag);
+        if (it != faults_.end() && (to ? it->second.to : it->second.from)) return true;
+    }
+    return false;
+}
+
+void Relay::pump(const std::shared_ptr<Pair>& pair, bool to) {
+    tcp::socket& source = pair->sockets[to ? 0 : 1];
+    source.async_read_some(boost::asio::buffer(pair->buffers[to ? 0 : 1]),
+                           [this, pair, to](const error_code& ec, std::size_t n) {
+                               if (ec || pair->closed) return close(*pair);
+                               if (to && pair->tag.empty()) {
+                                   pair->first.append(pair->buffers[0].data(), n);
+                                   pair->tag = tag_(pair->first);
+                               }
+                               if (lost(*pair, to)) {
+                                   pair->spoilt = true;  // what comes later would be out of step
+                                   return pump(pair, to);
+                               }
+                               if (pair->spoilt) return pump(pair, to);
+                               boost::asio::async_write(
+                                   pair->sockets[to ? 1 : 0],
+                                   boost::asio::buffer(pair->buffers[to ? 0 : 1].data(), n),
+                                   [this, pair, to](const error_code& failed, std::size_t) {
+                                       if (failed) return close(*pair);
+                                       pump(pair, to);
+                                   });
+                           });
+}
+
+void Relay::close(Pair& pair) {
+    if (std::exchange(pair.closed, true)) return;
+    error_code ec;
+    for (tcp::socket& s : pair.sockets) s.close(ec);
+}
+
+void Relay::heal() {
+    faults_.clear();
+    for (const auto& held : pairs_)
+        if (const auto pair = held.lock(); pair && pair->spoilt) close(*pair);
+}
+
+void Relay::reset_all() {
+    for (const auto& held : pairs_)
+        if (const auto pair = held.lock()) close(*pair);
+}
+
+std::string member_tag(const std::string& first) {
+    constexpr std::string_view key = "\"name\":\"";
+    const auto at = first.find(key);
+    const auto end = at == first.npos ? at : first.find('"', at + key.size());
+    return end == first.npos ? std::string() : first.substr(at + key.size(), end - at - key.size());
+}
+
+// Two numbers of eight bytes, little end first: the form, and who connects.
+std::string log_tag(const std::string& first) {
+    if (first.size() < 16) return {};
+    std::uint64_t id = 0;
+    for (int i = 7; i >= 0; --i)
+        id = id << 8 | static_cast<unsigned char>(first[8 + static_cast<std::size_t>(i)]);
+    return std::to_string(id);
+}
+
+std::vector<std::uint16_t> free_ports(std::size_t count) {
+    boost::asio::io_context io;
+    std::vector<tcp::acceptor> held;
+    std::vector<std::uint16_t> ports;
+    for (std::size_t i = 0; i < count; ++i) {
+        held.emplace_back(io, tcp::endpoint(boost::asio::ip::address_v4::any(), 0));
+        ports.push_back(held.back().local_endpoint().port());
+    }
+    return ports;
+}
+
+Folder::Folder() {
+    std::string name = (std::filesystem::temp_directory_path() / "tealcart-XXXXXX").string();
+    if (::mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder can be made");
+    path_ = name;
+}
+
+Folder::~Folder() {
+    std::error_code ec;
+    std::filesystem::remove_all(path_, ec);
+}
+
+std::string Folder::write(const std::string& name, const std::string& text) const {
+    std::ofstream(path(name)) << text;
+    return path(name);
+}
+
+}  // namespace tealcart::standin
--- /dev/null
+++ b/src/standin/rig.hpp
@@ -0,0 +1,119 @@
+// Several processes of the programs on loopback, with faults between them: they are started, killed, stopped
+// for a time and started again, and what they say to each other goes through relays that cut, delay and reset
+// it. Waits for events, never for a time alone. Ends only what it started.
+#pragma once
+
+#include <sys/types.h>
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tealcart::standin {
+
+using Moment = std::chrono::steady_clock::time_point;
+
+// What happened when, in one order; written out where a check fails.
+struct History {
+    struct Event {
+        Moment at;
+        std::string who, what;
+    };
+    std::vector<Event> events;
+    Moment began = std::chrono::steady_clock::now();
+
+    void note(const std::string& who, const std::string& what);
+    std::string text(std::size_t last = 200) const;
+};
+
+class Process {
+  public:
+    Process(boost::asio::io_context& io, History& history, std::string name, std::vector<std::string> command,
+            std::vector<std::string> environment = {});
+    ~Process();
+    Process(const Process&) = delete;
+
+    void signal(int which);
+    // Has it ended? Its status then; a signal that ended it counts as 1000 and more.
+    bool ended();
+    int status() const { return status_; }
+    bool said(const std::string& words) const;
+    const std::vector<std::string>& lines() const { return lines_; }
+    pid_t pid() const { return pid_; }
+
+  private:
+    void read();
+
+    History& history_;
+    const std::string name_;
+    pid_t pid_ = -1;
+    int status_ = -1;
+    bool over_ = false;
+    std::shared_ptr<boost::asio::posix::stream_descriptor> output_;
+    std::shared_ptr<std::array<char, 4096>> buffer_;
+    std::string part_;
+    std::vector<std::string> lines_;
+};
+
+// Between whoever connects and one process. Who that is, `tag` says of the connection's first bytes (empty:
+// not known yet).
+class Relay {
+  public:
+    using Tag = std::function<std::string(const std::string& first)>;
+    struct Fault {
+        bool to = false, from = false;  // what is said to the process, and by it, gets lost
+    };
+
+    Relay(boost::asio::io_context& io, const std::string& listen, const std::string& target, Tag tag);
+    ~Relay();
+
+    // Of the connections of this tag; "" for all.
+    void cut(const std::string& tag, Fault fault) { faults_[tag] = fault; }
+    // What a cut has spoilt is reset.
+    void heal();
+    void reset_all();
+
+  private:
+    struct Pair;
+
+    void accept();
+    void pump(const std::shared_ptr<Pair>& pair, bool to);
+    bool lost(Pair& pair, bool to) const;
+    static void close(Pair& pair);
+
+    boost::asio::io_context& io_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    const boost::asio::ip::tcp::endpoint target_;
+    const Tag tag_;
+    std::map<std::string, Fault> faults_;
+    std::vector<std::weak_ptr<Pair>> pairs_;
+};
+
+// The member's name in a call to a steward; the steward's id in the log's handshake.
+std::string member_tag(const std::string& first);
+std::string log_tag(const std::string& first);
+
+// So many ports that were free on loopback a moment ago.
+std::vector<std::uint16_t> free_ports(std::size_t count);
+
+// A folder that goes with its owner.
+class Folder {
+  public:
+    Folder();
+    ~Folder();
+    std::string path(const std::string& name) const { return path_ + "/" + name; }
+    std::string write(const std::string& name, const std::string& text) const;
+
+  private:
+    std::string path_;
+};
+
+}  // namespace tealcart::standin
--- a/src/steward/asker.cpp
+++ b/src/steward/asker.cpp
@@ -61,19 +61,18 @@
                    std::chrono::milliseconds within) {
     const auto until = Clock::now() + within;
     Reply last;
+    std::optional<HostPort> leader;  // named by one that follows, in the list or not
     for (std::size_t at = 0; Clock::now() < until;) {
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - Clock::now());
-        const Reply reply = ask_once(stewards[at], path, body, std::min(left, one_try));
+        const HostPort to = leader ? *leader : stewards[at];
+        if (!leader) at = (at + 1) % stewards.size();
+        leader.reset();
+        const Reply reply = ask_once(to, path, body, std::min(left, one_try));
         if (reply.status == 200 || (reply.status >= 400 && reply.status < 410)) return reply;
         if (reply.status != 0) last = reply;
-        at = (at + 1) % stewards.size();
         if (reply.status == 421)
-            if (const auto leader = read_elsewhere(reply.body)) {
-                const auto named = read_host_port(*leader);
-                const auto found = std::find(stewards.begin(), stewards.end(), named.value_or(HostPort{}));
-                if (found != stewards.end()) at = static_cast<std::size_t>(found - stewards.begin());
-            }
-        std::this_thread::sleep_for(pause);
+            if (const auto named = read_elsewhere(reply.body)) leader = read_host_port(*named);
+        if (!leader) std::this_thread::sleep_for(pause);
     }
     return {0, last.body};
 }
--- a/src/steward/command_main.cpp
+++ b/src/steward/command_main.cpp
@@ -106,6 +106,13 @@
         if (state["leader"] == state["steward"]) return state;
         found = std::move(state);
     }
+    // The one that leads may not be among those that were named.
+    if (found.is_object())
+        if (const auto leader = read_host_port(found["leader_at"].get<std::string>())) {
+            const Reply reply = ask_once(*leader, "/fleet/status", "", one_look);
+            Json state = Json::parse(reply.body, nullptr, false);
+            if (reply.status == 200 && state.is_object()) return state;
+        }
     return found;
 }
 
--- a/src/steward/raft_node.cpp
+++ b/src/steward/raft_node.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstring>
 #include <new>
+#include <span>
 #include <stdexcept>
 
 namespace tealcart::steward {
@@ -16,13 +17,29 @@
 constexpr unsigned connect_again_ms = 100;
 constexpr Nanos longest_sleep = 50 * ms;
 
+// The library counts in words of eight bytes: an entry of any other length makes its segment, read again,
+// look corrupt, and shifts what follows it in a message. So what is written begins with its length and is
+// filled up.
+constexpr std::size_t word = 8;
+
 raft_buffer buffer_of(const std::vector<std::uint8_t>& bytes) {
-    raft_buffer buf{raft_malloc(std::max<std::size_t>(bytes.size(), 1)), bytes.size()};
+    const std::uint64_t size = bytes.size();
+    const std::size_t whole = word + (bytes.size() + word - 1) / word * word;
+    raft_buffer buf{raft_malloc(whole), whole};
     if (buf.base == nullptr) throw std::bad_alloc();
-    std::memcpy(buf.base, bytes.data(), bytes.size());
+    std::memset(buf.base, 0, whole);
+    std::memcpy(buf.base, &size, word);
+    std::memcpy(static_cast<std::uint8_t*>(buf.base) + word, bytes.data(), bytes.size());
     return buf;
 }
 
+std::span<const std::uint8_t> bytes_of(const raft_buffer& buf) {
+    std::uint64_t size = 0;
+    if (buf.len >= word) std::memcpy(&size, buf.base, word);
+    if (buf.len < word || size > buf.len - word) throw std::runtime_error("an entry of the log is cut short");
+    return {static_cast<const std::uint8_t*>(buf.base) + word, size};
+}
+
 [[noreturn]] void fail(const std::string& folder, const std::string& what) {
     throw std::runtime_error("the steward's folder " + folder + ": " + what);
 }
@@ -57,14 +74,17 @@
     if (const int rv = raft_uv_init(&raft_io_, &loop_, terms.folder.c_str(), &transport_); rv != 0)
         fail(terms.folder, raft_io_.errmsg[0] != 0 ? raft_io_.errmsg : raft_strerror(rv));
     raft_uv_set_segment_size(&raft_io_, segment);
+    // What can't be read is told, and not set aside: a steward that forgot what it agreed to would break the
+    // log.
+    raft_uv_set_auto_recovery(&raft_io_, false);
     raft_uv_set_connect_retry_delay(&raft_io_, connect_again_ms);
     fsm_.version = 1;
     fsm_.data = this;
     fsm_.apply = [](raft_fsm* fsm, const raft_buffer* buf, void**) {
         auto& self = *static_cast<RaftNode*>(fsm->data);
         try {
-            if (self.broken_.empty())
-                self.machine_.apply(static_cast<const std::uint8_t*>(buf->base), buf->len);
+            const auto bytes = bytes_of(*buf);
+            if (self.broken_.empty()) self.machine_.apply(bytes.data(), bytes.size());
         } catch (const std::exception& e) {
             self.broken_ = e.what();
         }
@@ -80,9 +100,9 @@
     };
     fsm_.restore = [](raft_fsm* fsm, raft_buffer* buf) -> int {
         auto& self = *static_cast<RaftNode*>(fsm->data);
-        const auto* at = static_cast<const std::uint8_t*>(buf->base);
         try {
-            self.machine_.load({at, at + buf->len});
+            const auto bytes = bytes_of(*buf);
+            self.machine_.load({bytes.begin(), bytes.end()});
         } catch (const std::exception& e) {
             self.broken_ = e.what();
             return RAFT_MALFORMED;
--- /dev/null
+++ b/tests/drains_test.cpp
@@ -0,0 +1,307 @@
+// Drains agreed across a fleet, on several processes of the programs with faults between them: three
+// stewards, six query routers, twelve data nodes, steady traffic. The data nodes are the observer: what
+// reaches them counts, not what a router says of itself.
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+#include "standin/fleet_rig.hpp"
+
+using namespace tealcart::standin;
+using Ms = std::chrono::milliseconds;
+using Json = nlohmann::json;
+
+namespace {
+
+RigPlan plan_of(const std::string& member = "", const std::string& node_budget = "most = 2") {
+    RigPlan plan;
+    plan.programs = PROGRAMS;
+    plan.budgets =
+        " data_nodes {\n  " + node_budget + "\n  least_holders = 2\n }\n routers {\n  most = 1\n }";
+    plan.member = member;
+    return plan;
+}
+
+struct Drains {
+    explicit Drains(RigPlan plan) : rig(io, std::move(plan)) {
+        const bool up = rig.until([this] {
+            for (const auto& r : rig.routers)
+                if (rig.plan.membership && !r->said(": a member")) return false;
+            return rig.all_up();
+        });
+        INFO(rig.history.text());
+        REQUIRE(up);
+    }
+    bool stage(const std::string& target, const char* is) {
+        const Json r = rig.request_for(target);
+        return r.is_object() && r["stage"] == is;
+    }
+    bool done(const std::string& target) {
+        return rig.until([&] { return stage(target, "done"); });
+    }
+    std::size_t calls_to(std::size_t node, Moment since) const {
+        std::size_t n = 0;
+        for (const SeenCall& c : rig.calls) n += c.node == node && c.at >= since;
+        return n;
+    }
+    // Traffic goes on: so many further queries are answered, each with 200.
+    void traffic_goes_on(std::uint64_t queries = 60) {
+        const std::uint64_t before = rig.answers[200];
+        CHECK(rig.until([&] { return rig.answers[200] >= before + queries; }));
+    }
+    int run(std::vector<std::string> words, std::vector<std::size_t> through) {
+        const auto p = rig.command(std::move(words), std::move(through));
+        CHECK(rig.until([&] { return p->ended(); }));
+        return p->status();
+    }
+    // Nothing reaches it from here on, though traffic does go on.
+    void nothing_reaches(std::size_t node) {
+        const Moment from = std::chrono::steady_clock::now();
+        traffic_goes_on();
+        INFO(rig.history.text());
+        CHECK(calls_to(node, from) == 0);
+    }
+    // Of all that clients asked, nothing was lost or failed.
+    void none_lost() {
+        INFO(rig.history.text());
+        for (const auto& [status, count] : rig.answers) {
+            INFO("status " << status << ": " << count);
+            CHECK(status == 200);
+        }
+    }
+
+    boost::asio::io_context io{1};
+    FleetRig rig;
+};
+
+}  // namespace
+
+TEST_CASE("two operators drain two holders of one shard through two stewards: one goes out, then the other") {
+    Drains d(plan_of());
+    // Shard 2 lies on n2, n3 and n4, of which two must stay whole.
+    auto ann = d.rig.command({"drain", "n2", "--asker", "ann"}, {0, 1, 2});
+    auto bob = d.rig.command({"drain", "n3", "--asker", "bob"}, {2, 1, 0});
+    REQUIRE(d.rig.until([&] { return ann->ended() && bob->ended(); }));
+    CHECK(ann->status() == 0);
+    CHECK(bob->status() == 0);
+    const std::string first = d.stage("n2", "queued") ? "n3" : "n2", second = first == "n2" ? "n3" : "n2";
+    REQUIRE(d.done(first));
+    const Json waits = d.rig.request_for(second);
+    CHECK(waits["stage"] == "queued");
+    CHECK(waits["held_by"].get<std::string>().find("would keep 1 whole holders") != std::string::npos);
+    d.nothing_reaches(first == "n2" ? 2 : 3);
+    CHECK(d.run({"undrain", first, "--wait"}, {1}) == 0);
+    REQUIRE(d.done(second));
+    d.nothing_reaches(second == "n2" ? 2 : 3);
+    const Moment back = std::chrono::steady_clock::now();
+    CHECK(d.rig.until([&] { return d.calls_to(first == "n2" ? 2 : 3, back) > 0; }));
+    d.none_lost();
+}
+
+TEST_CASE("the steward that leads is killed between a grant and its acknowledgement") {
+    Drains d(plan_of());
+    const std::size_t leader = d.rig.leader();
+    REQUIRE(leader < 3);
+    // One router does not hear of it, so that the grant is still open when the leader dies.
+    d.rig.deafen(5, true, true);
+    auto ask = d.rig.command({"drain", "n4", "--id", "one"}, {leader});
+    REQUIRE(d.rig.until([&] { return d.rig.stewards[leader]->said("granted: request 1 "); }));
+    d.rig.stewards[leader]->signal(SIGKILL);
+    REQUIRE(d.rig.until([&] { return d.rig.leader() < 3; }));
+    CHECK(d.stage("n4", "granted"));
+    // The same call again, through another steward, is the one that it was.
+    CHECK(d.run({"drain", "n4", "--id", "one"}, {(leader + 1) % 3, (leader + 2) % 3}) == 0);
+    CHECK(d.rig.request_for("n4")["request"] == 1);
+    d.rig.heal();
+    REQUIRE(d.done("n4"));
+    d.nothing_reaches(4);
+    d.rig.start_steward(leader);
+    CHECK(d.rig.until([&] {
+        const Json s = d.rig.status(leader);
+        return s.is_object() && s["generation"] == d.rig.leading()["generation"];
+    }));
+    d.none_lost();
+}
+
+TEST_CASE(
+    "a steward that led is stopped, or cut off with a minority, and goes on: it grants nothing of its own") {
+    const bool stopped = GENERATE(true, false);
+    Drains d(plan_of());
+    const std::size_t old = d.rig.leader();
+    REQUIRE(old < 3);
+    if (stopped)
+        d.rig.stewards[old]->signal(SIGSTOP);
+    else
+        d.rig.cut_off(old);
+    const auto others = std::vector<std::size_t>{(old + 1) % 3, (old + 2) % 3};
+    REQUIRE(d.rig.until([&] {
+        for (const std::size_t i : others) {
+            const Json s = d.rig.status(i);
+            if (s.is_object() && s["leader"] == s["steward"]) return true;
+        }
+        return false;
+    }));
+    // Asked first of the one that can't agree, then of the others: one request.
+    CHECK(d.run({"drain", "n7"}, {old, others[0], others[1]}) == 0);
+    // An operator who reaches the cut-off one alone gets nothing granted.
+    if (!stopped) CHECK(d.run({"drain", "n1", "--within", "1"}, {old}) == 1);
+    if (stopped)
+        d.rig.stewards[old]->signal(SIGCONT);
+    else
+        d.rig.heal();
+    REQUIRE(d.done("n7"));
+    CHECK(d.rig.until([&] {
+        const Json s = d.rig.status(old), leading = d.rig.leading();
+        return s.is_object() && leading.is_object() && s["generation"] == leading["generation"] &&
+               s["leader"] == leading["leader"];
+    }));
+    CHECK(d.rig.request_for("n1").is_null());
+    d.nothing_reaches(7);
+    d.none_lost();
+}
+
+TEST_CASE(
+    "a router that does not hear the stewards holds a drain up until its lease is over, and stops by then") {
+    // In one direction or both: what it says is lost, what it is told is, or both.
+    const int way = GENERATE(0, 1, 2);
+    Drains d(plan_of("serve_on = \"0s\"\n then = \"stop\""));
+    d.rig.deafen(3, way != 1, way != 0);
+    CHECK(d.run({"drain", "n6"}, {0, 1, 2}) == 0);
+    REQUIRE(d.done("n6"));
+    CHECK(d.rig.request_for("n6")["unheard"].empty());
+    d.nothing_reaches(6);
+    INFO(d.rig.history.text());
+    CHECK(d.rig.routers[3]->said("cut off"));
+    // Its clients are told at once that it is cut off, and it comes back by itself.
+    d.rig.heal();
+    CHECK(d.rig.until([&] { return d.rig.all_up(); }));
+    d.traffic_goes_on();
+    for (const auto& [status, count] : d.rig.answers) CHECK((status == 200 || status == 503));
+}
+
+TEST_CASE("a router that was stopped past its lease sends no leaf call to what went out meanwhile") {
+    Drains d(plan_of("serve_on = \"0s\"\n then = \"stop\""));
+    d.rig.routers[2]->signal(SIGSTOP);
+    CHECK(d.run({"drain", "n8"}, {0, 1, 2}) == 0);
+    REQUIRE(d.done("n8"));
+    const Moment over = std::chrono::steady_clock::now();
+    d.rig.routers[2]->signal(SIGCONT);
+    CHECK(d.rig.until([&] { return d.rig.all_up(); }));
+    d.traffic_goes_on();
+    INFO(d.rig.history.text());
+    CHECK(d.calls_to(8, over) == 0);
+    CHECK(d.rig.routers[2]->said("cut off"));
+}
+
+TEST_CASE("without stewards queries go on; all of them started again know what was agreed") {
+    Drains d(plan_of());
+    CHECK(d.run({"drain", "n5"}, {0, 1, 2}) == 0);
+    REQUIRE(d.done("n5"));
+    const Json before = d.rig.leading();
+    for (auto& s : d.rig.stewards) s->signal(SIGKILL);
+    REQUIRE(d.rig.until([&] { return d.rig.routers[0]->said("its lease is over"); }));
+    d.nothing_reaches(5);
+    CHECK(d.run({"drain", "n9", "--within", "0.5"}, {0, 1, 2}) == 1);
+    for (std::size_t i = 0; i < 3; ++i) d.rig.start_steward(i);
+    REQUIRE(d.rig.until([&] { return d.rig.all_up(); }));
+    CHECK(d.rig.leading()["generation"] == before["generation"]);
+    CHECK(d.rig.request_for("n5")["fence"] == before["requests"][0]["fence"]);
+    d.nothing_reaches(5);
+    d.none_lost();
+}
+
+TEST_CASE("a steward with an old folder catches up; one with another's, with none or a broken one says so") {
+    Drains d(plan_of());
+    const std::size_t i = (d.rig.leader() + 1) % 3;
+    const std::string folder = d.rig.folder.path("s" + std::to_string(i + 1)),
+                      kept = d.rig.folder.path("kept");
+    const auto stop = [&] {
+        d.rig.stewards[i]->signal(SIGTERM);
+        REQUIRE(d.rig.until([&] { return d.rig.stewards[i]->ended(); }));
+        CHECK(d.rig.stewards[i]->status() == 0);
+    };
+    stop();
+    std::filesystem::copy(folder, kept, std::filesystem::copy_options::recursive);
+    d.rig.start_steward(i);
+    CHECK(d.run({"drain", "n10"}, {0, 1, 2}) == 0);
+    REQUIRE(d.done("n10"));
+    stop();
+    std::filesystem::remove_all(folder);
+    std::filesystem::copy(kept, folder, std::filesystem::copy_options::recursive);
+    d.rig.start_steward(i);
+    CHECK(d.rig.until([&] {
+        const Json s = d.rig.status(i);
+        return s.is_object() && s["generation"] == d.rig.leading()["generation"];
+    }));
+    const auto fails_with = [&](const std::string& words) {
+        d.rig.start_steward(i);
+        REQUIRE(d.rig.until([&] { return d.rig.stewards[i]->ended(); }));
+        CHECK(d.rig.until([&] { return !d.rig.stewards[i]->lines().empty(); }));
+        INFO(d.rig.history.text(5));
+        CHECK(d.rig.stewards[i]->status() == 1);
+        CHECK(d.rig.stewards[i]->lines().size() == 1);
+        CHECK(d.rig.stewards[i]->said(words));
+    };
+    stop();
+    const std::string mark = folder + "/steward.json";
+    std::ofstream(mark) << R"({"form":1,"fleet":"rig","id":9})";
+    fails_with("is that of steward 9 of \"rig\"");
+    std::ofstream(mark) << R"({"form":7,"fleet":"rig","id":1})";
+    fails_with("is of form 7, this program reads 1");
+    std::filesystem::remove_all(folder);
+    fails_with("is no steward's: 'tealcart steward init' makes one");
+    d.traffic_goes_on();
+    d.none_lost();
+}
+
+TEST_CASE("a router is let out of the front by agreement, and one more must wait for it") {
+    Drains d(plan_of());
+    CHECK(d.run({"drain", "--router", "r1"}, {0, 1, 2}) == 0);
+    CHECK(d.run({"drain", "--router", "r2"}, {2, 1, 0}) == 0);
+    CHECK(d.rig.until([&] { return d.rig.routers[1]->said("and this router"); }));
+    CHECK(d.rig.request_for("r2")["held_by"] == "routers: 1 of 6 are out, 1 may be");
+    // One that dies uses up the budget as well.
+    d.rig.routers[4]->signal(SIGKILL);
+    CHECK(d.run({"undrain", "--router", "r1"}, {0, 1, 2}) == 0);
+    CHECK(d.rig.until([&] { return d.rig.leading()["requests"].size() == 1; }));
+    CHECK(d.rig.until([&] {
+        const Json r = d.rig.request_for("r2");
+        return r.is_object() && (r["stage"] == "granted" || r["stage"] == "done" || r["stage"] == "queued");
+    }));
+    d.rig.start_router(4);
+    CHECK(d.rig.until([&] { return d.rig.all_up(); }));
+    d.traffic_goes_on();
+}
+
+TEST_CASE("without a member block the program is what it was: no further socket, file, thread or message") {
+    const bool member = GENERATE(false, true);
+    RigPlan plan = plan_of();
+    plan.membership = member;
+    plan.routers = 1;
+    plan.nodes = 6;
+    plan.gap_ms = 20;
+    Drains d(plan);
+    d.traffic_goes_on(3);
+    const std::string proc = "/proc/" + std::to_string(d.rig.routers[0]->pid());
+    const auto entries = [&](const char* of) {
+        std::size_t n = 0;
+        for (const auto& e : std::filesystem::directory_iterator(proc + of)) n += !e.path().empty();
+        return n;
+    };
+    CHECK(entries("/task") == 1);
+    CHECK(d.rig.leading()["members"].size() == (member ? 1 : 0));
+    // Clients' idle connections end, those to data nodes stay: one to the stewards is all that is added.
+    d.rig.stop_traffic();
+    static std::size_t bare = 0;
+    std::size_t least = SIZE_MAX;
+    d.rig.until(
+        [&] {
+            least = std::min(least, entries("/fd"));
+            return false;
+        },
+        Ms(2600));
+    if (!member) bare = least;
+    CHECK(least == bare + (member ? 1 : 0));
+    CHECK(d.rig.routers[0]->said("member ") == member);
+}
