--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 FLAGS ?=
 
-.PHONY: packages build test lint run run-control interop-xds clean
+.PHONY: packages build test lint run run-control run-fleet interop-xds clean
 
 packages:
 	scripts/packages
@@ -37,6 +37,10 @@
 run-control: build
 	examples/start-control
 
+# Three stewards, data nodes and a router that is a member; see docs/fleet.md.
+run-fleet: build
+	examples/start-fleet
+
 # A gRPC client library with xDS, from the npm registry, follows the control service; not part of CI.
 interop-xds: build
 	cd interop/xds && npm ci --no-audit --no-fund && node run.mjs ../../$(BUILD)
--- a/deploy/tealcart.hcl
+++ b/deploy/tealcart.hcl
@@ -31,3 +31,10 @@
 #   listen     = "127.0.0.1:18000"
 #   node_limit = 64
 # }
+
+# member {                         # of a fleet that agrees on who may be out; docs/fleet.md
+#   zone     = "a"
+#   stewards = ["127.0.0.1:7201", "127.0.0.1:7202", "127.0.0.1:7203"]
+#   serve_on = "24h"               # after its lease is over, by what it last knew
+#   then     = "leave"             # or "stop"
+# }
