--- /dev/null
+++ b/tests/members_test.cpp
@@ -0,0 +1,282 @@
+// A router's side of a fleet's agreement: its lease, discovery's list joined with what is agreed, what it
+// reports, what it and the stewards say; and the stewards' file and view of the data nodes.
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "members/agreed_list.hpp"
+#include "members/member_lease.hpp"
+#include "members/outcome_watch.hpp"
+#include "steward/node_view.hpp"
+#include "steward/requests.hpp"
+#include "steward/steward_terms.hpp"
+#include "wire/member_words.hpp"
+
+using namespace tealcart;
+
+namespace {
+
+constexpr Nanos second = 1'000'000'000;
+
+MemberTerms terms_of(Nanos serve_on, bool stop) {
+    MemberTerms t;
+    t.serve_on = serve_on;
+    t.then_stop = stop;
+    t.first_word = 5 * second;
+    return t;
+}
+
+ListedNode listed(const std::string& id, Availability a = Availability::ready, std::uint32_t place = 0) {
+    ListedNode n;
+    n.id = id, n.address = "127.0.0.1:1", n.zone = "a", n.place = place, n.availability = a;
+    return n;
+}
+
+std::map<std::string, Availability> told(const TargetList& list) {
+    std::map<std::string, Availability> all;
+    for (const ListedNode& n : list.nodes) all[n.id] = n.availability;
+    return all;
+}
+using Told = std::map<std::string, Availability>;
+
+}  // namespace
+
+TEST_CASE(
+    "a lease counts from when the answered call was sent, and what is allowed after it is the operators'") {
+    const bool stop = GENERATE(false, true);
+    MemberLease lease(terms_of(3 * second, stop), 100 * second, 7);
+    CHECK(lease.standing(100 * second) == Standing::unheard);
+    CHECK_FALSE(lease.ready(100 * second));
+    CHECK(lease.admits(100 * second) == !stop);  // the stewards may hold it to be a member already
+    lease.renewed(101 * second, 10 * second);
+    lease.renewed(100 * second, 10 * second);  // an answer to an earlier call takes nothing back
+    CHECK(lease.lease_until() == 111 * second);
+    CHECK(lease.standing(111 * second - 1) == Standing::member);
+    CHECK(lease.standing(111 * second) == Standing::alone);
+    CHECK(lease.ready(113 * second));
+    CHECK(lease.standing(114 * second) == Standing::cut);
+    CHECK_FALSE(lease.ready(114 * second));
+    CHECK(lease.admits(114 * second) == !stop);
+    CHECK(lease.no_calls_after(102 * second) == (stop ? 114 * second : INT64_MAX));
+    CHECK(lease.next_change(101 * second) == 111 * second);
+    CHECK(lease.next_change(111 * second) == 114 * second);
+    CHECK(lease.next_change(114 * second) == INT64_MAX);
+    lease.renewed(120 * second, 10 * second);
+    CHECK(lease.standing(121 * second) == Standing::member);
+    CHECK(lease.wait(false) == 2 * second);
+    CHECK(lease.wait(true) < second / 10);
+}
+
+TEST_CASE("one that no steward ever answered counts from its start; spans without end don't overflow") {
+    MemberLease strict(terms_of(0, true), 100 * second, 7);
+    CHECK(strict.no_calls_after(101 * second) == 0);
+    CHECK(strict.standing(105 * second) == Standing::cut);
+    MemberLease easy(terms_of(INT64_MAX, false), 100 * second, 7);
+    CHECK(easy.standing(105 * second) == Standing::alone);
+    CHECK(easy.ready(1'000'000 * second));
+}
+
+TEST_CASE(
+    "a later life of its name: at the start it takes one beyond, later it has been followed and is cut") {
+    MemberLease lease(terms_of(3600 * second, false), 100 * second, 7);
+    lease.outlived(50);
+    CHECK(lease.life() == 51);
+    CHECK(lease.standing(101 * second) == Standing::unheard);
+    lease.renewed(101 * second, 10 * second);
+    lease.outlived(90);
+    CHECK(lease.life() == 51);
+    CHECK(lease.standing(102 * second) == Standing::cut);
+    CHECK_FALSE(lease.admits(102 * second));
+    CHECK(lease.no_calls_after(102 * second) == 0);
+}
+
+TEST_CASE("generated lists and agreements: the module hears of each node what is stricter of both") {
+    std::knuth_b chance(GENERATE(range(1U, 9U)));
+    const auto pick = [&](int n) { return static_cast<int>(chance() % static_cast<unsigned>(n)); };
+    AgreedList list;
+    // The plain model: all that discovery last said, who is out, and what the module was told.
+    std::map<std::string, Availability> discovery, module;
+    std::set<std::string> out;
+    bool cut = false;
+    for (int i = 0; i < 600; ++i) {
+        TargetList news{static_cast<std::uint64_t>(i), pick(8) == 0, {}, 0};
+        TargetList to_module;
+        switch (pick(3)) {
+            case 0:
+                if (news.whole) discovery.clear();
+                for (int n = 0; n < 6; ++n) {
+                    if (pick(3) != 0) continue;
+                    const auto a = static_cast<Availability>(pick(3));
+                    news.nodes.push_back(listed("n" + std::to_string(n), a));
+                    if (a == Availability::gone)
+                        discovery.erase(news.nodes.back().id);
+                    else
+                        discovery[news.nodes.back().id] = a;
+                }
+                to_module = list.discovered(news);
+                break;
+            case 1:
+                out.clear();
+                for (int n = 0; n < 6; ++n)
+                    if (pick(4) == 0) out.insert("n" + std::to_string(n));
+                to_module = list.agreed(out);
+                break;
+            default:
+                cut = pick(4) == 0;
+                to_module = list.cut(cut);
+        }
+        if (to_module.whole) module.clear();
+        for (const ListedNode& n : to_module.nodes) {
+            if (n.availability == Availability::gone)
+                module.erase(n.id);
+            else
+                module[n.id] = n.availability;
+        }
+        Told want = discovery;
+        for (auto& [id, a] : want)
+            if (cut || out.contains(id)) a = Availability::draining;
+        CHECK(module == want);
+    }
+}
+
+TEST_CASE("what changes nothing is not told again") {
+    AgreedList list;
+    list.discovered({1, true, {listed("n0"), listed("n1", Availability::draining)}, 0});
+    CHECK(told(list.agreed({"n0", "n1", "n9"})) == Told{{"n0", Availability::draining}});
+    CHECK(told(list.agreed({"n0", "n1"})).empty());
+    CHECK(told(list.cut(true)).empty());
+    CHECK(told(list.cut(false)).empty());
+    CHECK(told(list.agreed({})) == Told{{"n0", Availability::ready}});
+}
+
+TEST_CASE("a member reports the last ten seconds, and nodes that were silent several times in a row") {
+    OutcomeWatch watch;
+    Nanos now = 1000 * second;
+    watch.query_ended(now, true);
+    for (int i = 0; i < 9; ++i) watch.query_ended(now += second, false);
+    CHECK(watch.counts(now).queries == 10);
+    CHECK(watch.counts(now).failed == 1);
+    CHECK(watch.counts(now + second).failed == 0);
+    CHECK(watch.counts(now + 60 * second).queries == 0);
+    for (int i = 0; i < 5; ++i) watch.call_ended(now + i * second, 3, Outcome::timeout);
+    for (int i = 0; i < 9; ++i) watch.call_ended(now, 4, Outcome::reset);  // all at once: one break
+    for (int i = 0; i < 9; ++i) watch.call_ended(now + i * second, 5, Outcome::full);  // it speaks
+    CHECK(watch.silent(now + 5 * second) == std::set<std::uint32_t>{3});
+    watch.call_ended(now + 5 * second, 3, Outcome::moot);
+    CHECK(watch.silent(now + 5 * second).size() == 1);
+    CHECK(watch.silent(now + 60 * second).empty());
+    watch.call_ended(now + 6 * second, 3, Outcome::ok);
+    CHECK(watch.silent(now + 6 * second).empty());
+}
+
+TEST_CASE("words between members and stewards come back as they were; what is malformed is told") {
+    MemberCall call{
+        "r1",   "router", "a", "0.3.0", "d1", 5, 3 * second, 7, 8, second, {{false, "n1"}, {true, "r1"}},
+        {"n2"}, 10,       1,   true};
+    std::string wrong;
+    const auto read = read_member_call(write_member_call(call), wrong);
+    REQUIRE(read);
+    CHECK(write_member_call(*read) == write_member_call(call));
+    CHECK(read->in_hand == call.in_hand);
+    CHECK(read->leaves);
+    const std::string bad[] = {"",
+                               "[]",
+                               "{",
+                               R"({"role":"router","life":1})",
+                               R"({"name":"a b","role":"router","life":1})",
+                               R"({"name":"r","role":"king","life":1})",
+                               R"({"name":"r","role":"router","life":0})",
+                               R"({"name":"r","role":"router","life":-1})",
+                               R"({"name":"r","role":"router","life":1,"wait_ms":1e30})",
+                               R"({"name":"r","role":"router","life":1,"in_hand":[["shelf","n1"]]})",
+                               R"({"name":"r","role":"router","life":1,"silent":[3]})"};
+    for (const std::string& text : bad) {
+        wrong.clear();
+        CHECK_FALSE(read_member_call(text, wrong));
+        CHECK_FALSE(wrong.empty());
+    }
+    const auto answer = read_member_answer(write_member_answer({9, 10 * second, {{false, "n1"}}, true}));
+    REQUIRE(answer);
+    CHECK(answer->generation == 9);
+    CHECK(answer->out == std::vector<TargetName>{{false, "n1"}});
+    CHECK(answer->halted);
+    CHECK_FALSE(read_member_answer(R"({"generation":9,"lease_ms":0,"out":[],"halted":false})"));
+    CHECK_FALSE(read_member_answer(R"({"generation":9,"lease_ms":5,"halted":false})"));
+    CHECK(read_outlived(write_outlived(7)) == 7);
+    CHECK(read_elsewhere(write_elsewhere("127.0.0.1:1")) == "127.0.0.1:1");
+    CHECK_FALSE(read_elsewhere("{}"));
+}
+
+TEST_CASE("an operator's call is read, or told what is wrong with it") {
+    using namespace tealcart::steward;
+    std::string wrong;
+    const auto call =
+        read_operator_call(R"({"id":"x","asker":"ann","targets":[["node","n1"],["router","r1"]]})", wrong);
+    REQUIRE(call);
+    CHECK(call->targets == std::vector<fleet::Target>{{false, "n1"}, {true, "r1"}});
+    for (const char* text : {"", "{}", R"({"id":""})", R"({"id":"x","targets":[["node"]]})",
+                             R"({"id":"x","targets":[["shelf","n1"]]})", R"({"id":"x","requests":["1"]})"}) {
+        wrong.clear();
+        CHECK_FALSE(read_operator_call(text, wrong));
+        CHECK_FALSE(wrong.empty());
+    }
+}
+
+TEST_CASE("the stewards' file: what it states, and every mistake with its line and column") {
+    using namespace tealcart::steward;
+    const StewardTerms t = read_steward_file("deploy/fleet.hcl");
+    CHECK(t.fleet == "example");
+    CHECK(t.stewards.size() == 3);
+    CHECK(t.stewards.at(2).http.port == 7202);
+    CHECK(t.stewards.at(2).http_bind == t.stewards.at(2).http);
+    CHECK(t.budgets.nodes.most == 1);
+    CHECK(t.budgets.nodes_a_zone.share == 0.5);
+    CHECK(t.budgets.halt_holders == 1);
+    CHECK(t.budgets.lease == 10 * second);
+    const auto mistakes = [](const char* text) {
+        try {
+            read_steward_terms(text, "f");
+        } catch (const HclMistakes& e) {
+            return std::string(e.what());
+        }
+        return std::string("none");
+    };
+    CHECK(mistakes("") == "f:1:1: there is no 'fleet' block");
+    const std::string all = mistakes(
+        "fleet \"x\" {\n lease = \"700ms\"\n election = \"600ms\"\n steward \"0\" {\n"
+        "  raft = \"here\"\n  http = \"127.0.0.1:1\"\n  folder = \"f\"\n }\n nodes {\n }\n}\n");
+    CHECK(all.find("f:1:1: 'lease' is under two of 'election'") != std::string::npos);
+    CHECK(all.find("f:4:2: a steward's id is a whole number above 0") != std::string::npos);
+    CHECK(all.find("f:4:2: 'raft' is no address with a port") != std::string::npos);
+    CHECK(all.find("f:9:2: ") != std::string::npos);
+}
+
+TEST_CASE("the stewards' view: shards by place, cold until warm, gone, and nothing known in silence") {
+    using namespace tealcart::steward;
+    Terms terms;
+    terms.places = 4, terms.width = 2, terms.shards = 8, terms.cold = 10 * second;
+    NodeView view(terms);
+    fleet::FleetState state({});
+    const Nanos now = 1000 * second;
+    CHECK_FALSE(view.news(state, now));  // nothing is known yet, which is no news of nobody
+    ListedNode fresh = listed("n1", Availability::ready, 1);
+    fresh.started_at = now - 4 * second;
+    view.take({1, true, {listed("n0"), fresh, listed("n2", Availability::draining, 2)}, 0}, now);
+    auto news = view.news(state, now);
+    REQUIRE(news);
+    CHECK(news->nodes.at("n0").shards == std::vector<std::uint32_t>{0, 3, 4, 7});
+    CHECK(news->nodes.at("n1").health == fleet::Health::cold);
+    CHECK(news->nodes.at("n2").health == fleet::Health::draining);
+    state.apply({"", now, *news});
+    CHECK_FALSE(view.news(state, now));
+    news = view.news(state, now + 7 * second);
+    REQUIRE(news);
+    CHECK(news->nodes.size() == 1);
+    CHECK(news->nodes.at("n1").health == fleet::Health::whole);
+    view.take({2, false, {listed("n0", Availability::gone)}, 0}, now + second);
+    news = view.news(state, now + second);
+    REQUIRE(news);
+    CHECK(news->gone == std::set<std::string>{"n0"});
+    news = view.news(state, now + 60 * second);
+    REQUIRE(news);
+    CHECK(news->nodes.at("n2").health == fleet::Health::unknown);
+}
