Seeded faults between the processes while operators drain and let back; the rig asks without standing still

Need: the cases play one fault each; the issue wants seeded plans on processes with steady traffic. Change: three seeded plans of six faults (leader killed, steward stopped or cut off, router deaf or stopped, none), each under two operators' drains through other stewards; data nodes see what reaches them. Found: a steward that led stepped down for no reason. Cause: the rig's own questions blocked its process, and with it the relays that carry the log between stewards. They are asked within its io_context now.

--- a/src/standin/fleet_rig.cpp
+++ b/src/standin/fleet_rig.cpp
@@ -192,8 +192,9 @@
 
 void FleetRig::run_for(Ms span) { io.run_for(span); }
 
+// What is said between the processes goes through this one's relays, so it goes on meanwhile.
 Json FleetRig::status(std::size_t i) const {
-    const auto reply = steward::ask_once({"127.0.0.1", http_real_[i]}, "/fleet/status", "", Ms(300));
+    const auto reply = steward::ask_once(io, {"127.0.0.1", http_real_[i]}, "/fleet/status", "", Ms(300));
     return reply.status == 200 ? Json::parse(reply.body, nullptr, false) : Json();
 }
 
--- a/src/steward/asker.hpp
+++ b/src/steward/asker.hpp
@@ -22,8 +22,9 @@
 Reply ask_stewards(const std::vector<HostPort>& stewards, const std::string& path, const std::string& body,
                    std::chrono::milliseconds within);
 
-// One call to one address; status 0 where it does not answer in time.
-Reply ask_once(const HostPort& at, const std::string& path, const std::string& body,
-               std::chrono::milliseconds within);
+// One call to one address; status 0 where it does not answer in time. What else is the io_context's goes on
+// meanwhile.
+Reply ask_once(boost::asio::io_context& io, const HostPort& at, const std::string& path,
+               const std::string& body, std::chrono::milliseconds within);
 
 }  // namespace tealcart::steward
--- a/src/steward/command_main.cpp
+++ b/src/steward/command_main.cpp
@@ -98,9 +98,10 @@
 // The state as the steward that leads has it; where none says that it leads, as any has it. Null: none
 // answers.
 Json state_of(const std::vector<HostPort>& stewards) {
+    boost::asio::io_context io(1);
     Json found;
     for (const HostPort& at : stewards) {
-        const Reply reply = ask_once(at, "/fleet/status", "", one_look);
+        const Reply reply = ask_once(io, at, "/fleet/status", "", one_look);
         Json state = Json::parse(reply.body, nullptr, false);
         if (reply.status != 200 || !state.is_object()) continue;
         if (state["leader"] == state["steward"]) return state;
@@ -109,7 +110,7 @@
     // The one that leads may not be among those that were named.
     if (found.is_object())
         if (const auto leader = read_host_port(found["leader_at"].get<std::string>())) {
-            const Reply reply = ask_once(*leader, "/fleet/status", "", one_look);
+            const Reply reply = ask_once(io, *leader, "/fleet/status", "", one_look);
             Json state = Json::parse(reply.body, nullptr, false);
             if (reply.status == 200 && state.is_object()) return state;
         }
--- a/tests/drains_test.cpp
+++ b/tests/drains_test.cpp
@@ -1,10 +1,12 @@
 // Drains agreed across a fleet, on several processes of the programs with faults between them: three
 // stewards, six query routers, twelve data nodes, steady traffic. The data nodes are the observer: what
 // reaches them counts, not what a router says of itself.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <random>
 
 #include "standin/fleet_rig.hpp"
 #include "standin/fleet_sim.hpp"
@@ -388,3 +390,77 @@
     for (const auto span : v.grant_to_done) CHECK(span < 1'000'000'000);
     CHECK(v.after_done == 0);
 }
+
+TEST_CASE("seeded faults between the processes, one after the other, while operators drain and let back") {
+    const auto seed = GENERATE(range(1U, 4U));
+    Drains d(plan_of("serve_on = \"0s\"\n then = \"stop\""));
+    std::knuth_b chance(seed);
+    const auto pick = [&](std::size_t n) { return chance() % n; };
+    std::vector<std::pair<std::size_t, Moment>> out;  // nodes of which "done" was said, and when
+    const auto nothing_reached = [&] {
+        for (const auto& [node, since] : out) {
+            INFO("n" << node << "\n" << d.rig.history.text());
+            CHECK(d.calls_to(node, since) == 0);
+        }
+    };
+    for (int step = 0; step < 6; ++step) {
+        const std::size_t who = pick(3), router = pick(6), fault = pick(6);
+        const std::size_t leader = d.rig.leader();
+        REQUIRE(leader < 3);
+        auto& steward = d.rig.stewards[fault == 0 ? leader : who];
+        if (fault == 0) steward->signal(SIGKILL);
+        if (fault == 1) steward->signal(SIGSTOP);
+        if (fault == 2) d.rig.cut_off(who, pick(2) == 0, true);
+        if (fault == 3) d.rig.deafen(router, pick(2) == 0, true);
+        if (fault == 4) d.rig.routers[router]->signal(SIGSTOP);
+        // Two operators at once, through stewards in another order each.
+        const std::size_t first = pick(12), second = pick(12);
+        auto ann = d.rig.command({"drain", "n" + std::to_string(first)}, {who, (who + 1) % 3, (who + 2) % 3});
+        auto bob =
+            d.rig.command({"drain", "n" + std::to_string(second)}, {(who + 2) % 3, (who + 1) % 3, who});
+        CHECK(d.rig.until([&] { return ann->ended() && bob->ended(); }));
+        Json s;
+        const auto settled = [&] {
+            s = d.rig.leading();
+            if (!s.is_object() || s["held_for_ms"] > 0) return false;
+            for (const Json& r : s["requests"])
+                if (r["stage"] != "done" && r["stage"] != "queued") return false;
+            return true;
+        };
+        const bool all_settled = d.rig.until(settled);
+        INFO(d.rig.history.text());
+        REQUIRE(all_settled);
+        std::size_t granted = 0;
+        for (const Json& r : s["requests"]) {
+            if (r["stage"] != "done") continue;
+            ++granted;
+            const std::size_t node = std::stoul(r["target"][1].get<std::string>().substr(1));
+            const bool known =
+                std::any_of(out.begin(), out.end(), [&](const auto& o) { return o.first == node; });
+            if (!known) out.emplace_back(node, std::chrono::steady_clock::now());
+        }
+        CHECK(granted <= 2);
+        d.traffic_goes_on(30);
+        nothing_reached();
+        // The fault ends, and everyone is back.
+        if (fault == 0) d.rig.start_steward(leader);
+        if (fault == 1) steward->signal(SIGCONT);
+        if (fault == 2 || fault == 3) d.rig.heal();
+        if (fault == 4) d.rig.routers[router]->signal(SIGCONT);
+        CHECK(d.rig.until([&] { return d.rig.all_up(); }));
+        nothing_reached();
+        while (!out.empty()) {
+            const std::string node = "n" + std::to_string(out.back().first);
+            out.pop_back();
+            CHECK(d.run({"undrain", node}, {0, 1, 2}) == 0);
+        }
+        // What was queued is let out now, and is taken back too.
+        for (const std::size_t node : {first, second})
+            d.run({"undrain", "n" + std::to_string(node)}, {2, 1, 0});
+        CHECK(d.rig.until([&] {
+            const Json now = d.rig.leading();
+            return now.is_object() && now["requests"].empty();
+        }));
+    }
+    for (const auto& [status, count] : d.rig.answers) CHECK((status == 200 || status == 503));
+}
