The rig's processes are read no more once they are gone

Seen: the fleet tests crashed in one run of three, in "a router is let out of the front", which starts a router anew. Cause: a read that had completed before the process was let go was told to it afterwards (Process::read held only the descriptor). It now holds whether the process is there. Ruled out: clients and relays, whose handlers hold what they use.

--- a/src/standin/rig.cpp
+++ b/src/standin/rig.cpp
@@ -67,21 +67,23 @@
         signal(SIGKILL);
         ::waitpid(pid_, nullptr, 0);
     }
+    *here_ = false;
     error_code ec;
     output_->close(ec);
 }
 
 void Process::read() {
-    output_->async_read_some(boost::asio::buffer(*buffer_), [this, keep = output_, bytes = buffer_](
-                                                                const error_code& ec, std::size_t n) {
-        if (ec == boost::asio::error::operation_aborted) return;
-        part_.append(bytes->data(), n);
-        for (std::size_t end = 0; (end = part_.find('\n')) != part_.npos; part_.erase(0, end + 1)) {
-            lines_.push_back(part_.substr(0, end));
-            history_.note(name_, lines_.back());
-        }
-        if (!ec) read();
-    });
+    output_->async_read_some(
+        boost::asio::buffer(*buffer_),
+        [this, here = here_, keep = output_, bytes = buffer_](const error_code& ec, std::size_t n) {
+            if (!*here || ec == boost::asio::error::operation_aborted) return;
+            part_.append(bytes->data(), n);
+            for (std::size_t end = 0; (end = part_.find('\n')) != part_.npos; part_.erase(0, end + 1)) {
+                lines_.push_back(part_.substr(0, end));
+                history_.note(name_, lines_.back());
+            }
+            if (!ec) read();
+        });
 }
 
 void Process::signal(int which) {
--- a/src/standin/rig.hpp
+++ b/src/standin/rig.hpp
@@ -59,6 +59,8 @@
     bool over_ = false;
     std::shared_ptr<boost::asio::posix::stream_descriptor> output_;
     std::shared_ptr<std::array<char, 4096>> buffer_;
+    std::shared_ptr<bool> here_ =
+        std::make_shared<bool>(true);  // what was read may still be on its way to it
     std::string part_;
     std::vector<std::string> lines_;
 };
