--- a/src/standin/fleet_rig.cpp
+++ b/src/standin/fleet_rig.cpp
@@ -123,15 +123,12 @@
     for (Asker& a : askers_) a.client.reset();
 }
 
-void FleetRig::start_steward(std::size_t i, std::vector<std::string> more) {
-    std::vector<std::string> words = {plan.programs + "/tealcart-steward",
-                                      "serve",
-                                      "--file",
-                                      fleet_file_,
-                                      "--id",
-                                      std::to_string(i + 1),
-                                      "--config",
-                                      folder.path("r0.json")};
+void FleetRig::start_steward(std::size_t i, std::vector<std::string> more, std::vector<std::string> before) {
+    std::vector<std::string> words = std::move(before);
+    for (const std::string& word :
+         {plan.programs + "/tealcart-steward", std::string("serve"), std::string("--file"), fleet_file_,
+          std::string("--id"), std::to_string(i + 1), std::string("--config"), folder.path("r0.json")})
+        words.push_back(word);
     words.insert(words.end(), more.begin(), more.end());
     stewards[i].reset();
     stewards[i] = std::make_unique<Process>(io, history, "s" + std::to_string(i + 1), std::move(words));
--- a/src/standin/fleet_rig.hpp
+++ b/src/standin/fleet_rig.hpp
@@ -38,7 +38,9 @@
                std::chrono::milliseconds within = std::chrono::seconds(20));
     void run_for(std::chrono::milliseconds span);
 
-    void start_steward(std::size_t i, std::vector<std::string> more = {});
+    // `before`: words of a command that runs the program, as one that limits it.
+    void start_steward(std::size_t i, std::vector<std::string> more = {},
+                       std::vector<std::string> before = {});
     void start_router(std::size_t i);
     void stop_traffic() { traffic_ = false; }
     bool all_up();
--- a/src/steward/main.cpp
+++ b/src/steward/main.cpp
@@ -48,6 +48,7 @@
 
 int serve(const Asked& asked) {
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN);  // a file that may not grow is told as a disk that is full is
     const StewardTerms terms = read_steward_file(asked.file);
     const OneSteward& self = self_of(terms, asked.id);
     start_log(terms.log);
--- a/src/steward/raft_node.cpp
+++ b/src/steward/raft_node.cpp
@@ -113,6 +113,7 @@
     if (const int rv = raft_init(&raft_, &raft_io_, &fsm_, terms.id, terms.address.c_str()); rv != 0)
         fail(terms.folder, raft_errmsg(&raft_)[0] != 0 ? raft_errmsg(&raft_) : raft_strerror(rv));
     raft_.data = this;
+    append_ = std::exchange(raft_io_.append, append);
     raft_set_election_timeout(&raft_, static_cast<unsigned>(terms.election / ms));
     raft_set_heartbeat_timeout(&raft_, static_cast<unsigned>(std::max<Nanos>(20, terms.election / ms / 10)));
     raft_set_snapshot_threshold(&raft_, snapshot_after);
@@ -120,6 +121,35 @@
     raft_set_pre_vote(&raft_, true);
 }
 
+// A node whose entries can't be written stays in the group without a word and holds nothing: as one of three
+// it would be counted on. So what the library is told of each write is looked at on its way.
+int RaftNode::append(raft_io* io, raft_io_append* request, const raft_entry entries[], unsigned n,
+                     raft_io_append_cb told) {
+    static std::unordered_map<raft_io_append*, RaftNode*> nodes;  // whose write it is
+    auto& self = *static_cast<RaftNode*>(static_cast<raft*>(io->data)->data);
+    static const auto fail = [](RaftNode& node, int status) {
+        if (status != 0 && status != RAFT_CANCELED && node.broken_.empty())
+            node.broken_ = std::string("the log can't be written: ") + raft_strerror(status);
+    };
+    self.appending_[request] = told;
+    nodes[request] = &self;
+    const int rv = self.append_(io, request, entries, n, [](raft_io_append* ended, int status) {
+        RaftNode& node = *nodes.at(ended);
+        nodes.erase(ended);
+        const auto it = node.appending_.find(ended);
+        const raft_io_append_cb cb = it->second;
+        node.appending_.erase(it);
+        fail(node, status);
+        cb(ended, status);
+    });
+    if (rv != 0) {
+        self.appending_.erase(request);
+        nodes.erase(request);
+        fail(self, rv);
+    }
+    return rv;
+}
+
 void RaftNode::bootstrap(const RaftTerms& terms, const std::vector<RaftServer>& servers) {
     struct Nothing final : LogMachine {
         void apply(const std::uint8_t*, std::size_t) override {}
@@ -170,10 +200,8 @@
 void RaftNode::close() {
     if (std::exchange(closed_, true)) return;
     if (backend_) backend_->close();
-    bool ended = false;
-    raft_.data = &ended;
-    raft_close(&raft_, [](raft* r) { *static_cast<bool*>(r->data) = true; });
-    while (!ended) uv_run(&loop_, UV_RUN_ONCE);
+    raft_close(&raft_, [](raft* r) { static_cast<RaftNode*>(r->data)->ended_ = true; });
+    while (!ended_) uv_run(&loop_, UV_RUN_ONCE);
     raft_uv_close(&raft_io_);
     raft_uv_tcp_close(&transport_);
     // What the transport closed may need another turn.
--- a/src/steward/raft_node.hpp
+++ b/src/steward/raft_node.hpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "router/query_router.hpp"
@@ -77,6 +78,8 @@
     struct Proposal;
     struct Change;
 
+    static int append(raft_io* io, raft_io_append* request, const raft_entry entries[], unsigned n,
+                      raft_io_append_cb told);
     void open(const RaftTerms& terms);
 
     boost::asio::io_context& io_;
@@ -86,8 +89,10 @@
     raft_io raft_io_{};
     raft_fsm fsm_{};
     raft raft_{};
-    std::string broken_;  // what ended it
-    bool started_ = false, closed_ = false;
+    std::string broken_;                          // what ended it
+    decltype(raft_io::append) append_ = nullptr;  // the library's
+    std::unordered_map<raft_io_append*, raft_io_append_cb> appending_;
+    bool started_ = false, closed_ = false, ended_ = false;
     std::unique_ptr<boost::asio::posix::stream_descriptor> backend_;
     bool waits_ = false;
 };
--- a/tests/drains_test.cpp
+++ b/tests/drains_test.cpp
@@ -309,6 +309,29 @@
     d.none_lost();
 }
 
+TEST_CASE("a steward whose files can't grow any more ends with one line, and the others go on") {
+    Drains d(plan_of());
+    const std::size_t i = (d.rig.leader() + 1) % 3;
+    d.rig.stewards[i]->signal(SIGTERM);
+    REQUIRE(d.rig.until([&] { return d.rig.stewards[i]->ended(); }));
+    // Not one further segment of the log.
+    d.rig.start_steward(i, {}, {"/bin/sh", "-c", "ulimit -f 100; exec \"$0\" \"$@\""});
+    REQUIRE(d.rig.until([&] { return d.rig.stewards[i]->ended(); }));
+    INFO(d.rig.history.text(20));
+    CHECK(d.rig.stewards[i]->status() == 1);
+    CHECK(d.rig.until([&] { return d.rig.stewards[i]->said("tealcart steward: the log can't be written"); }));
+    CHECK(d.run({"drain", "n3"}, {0, 1, 2}) == 0);
+    REQUIRE(d.done("n3"));
+    // With room again it goes on from what it had.
+    d.rig.start_steward(i);
+    CHECK(d.rig.until([&] {
+        const Json s = d.rig.status(i);
+        return s.is_object() && s["generation"] == d.rig.leading()["generation"];
+    }));
+    d.nothing_reaches(3);
+    d.none_lost();
+}
+
 TEST_CASE("a router is let out of the front by agreement, and one more must wait for it") {
     Drains d(plan_of());
     CHECK(d.run({"drain", "--router", "r1"}, {0, 1, 2}) == 0);
