Watch renewed within 6 s whatever fails, lingering close, list before first decision, KNOWN-RED

An answer without a length ended with any error or none (read). Idle connections were closed after available() == 0, so a request that crossed it met a reset (client_front.cpp close). Reading stopped at 64 KB of further requests and hid a client's end. A new process decided by the configuration's list before its agent was heard. Change: long polls of 2.5 s, a short first call after failures, backoff with jitter up to 0.4 s; clean ends end such an answer, resets never; half-close, then what comes is read and left, bounded; further requests beyond the bound are read and left; decisions and /-/ready wait for discovery's first word, 1.5 s at most. KNOWN-RED.txt by tests/main.cpp and scripts/known-red. The test on idle connections now ends the client's side, since ours ends first.

--- a/src/service/bridge.cpp
+++ b/src/service/bridge.cpp
@@ -54,6 +54,7 @@
     const std::string_view path = request.path;
     if (path == "/-/ready" || path == "/-/healthy") {
         if (request.method != "GET") return front_->answer(client, {405, write_error("GET only"), 0, "GET"});
+        if (!begun_ && path == "/-/ready") return refuse(client, 503, "waiting for discovery's list");
         if (stopping_ && path == "/-/ready") return refuse(client, 503, "stopping");
         if (!standing_.ready && path == "/-/ready") return refuse(client, 503, "out of the fleet");
         return front_->answer(client, {200, {}, 0});
--- a/src/service/bridge.hpp
+++ b/src/service/bridge.hpp
@@ -70,10 +70,13 @@
     void take_list(const TargetList& list, ListKind kind);
     void on_due(Handle who, std::uint64_t what) override;
 
-    // When the next round is due; never while nothing has come in.
-    Nanos next_round() const { return arrived_.empty() ? Deadlines::never : last_round_ + step_; }
+    // When the next round is due; never while nothing has come in, or before `begin`.
+    Nanos next_round() const { return arrived_.empty() || !begun_ ? Deadlines::never : last_round_ + step_; }
     void run_round();
 
+    // From here on it is ready and decides; what has come in before waits till then.
+    void begin() { begun_ = true; }
+    bool begun() const { return begun_; }
     void begin_stop() { stopping_ = true; }
     // Of members of a fleet alone.
     void watch_outcomes(OutcomeTaker* taker) { outcomes_ = taker; }
@@ -208,7 +211,7 @@
     std::vector<Nanos> slo_;
     const std::vector<PhaseTerms> phases_;  // by vertical
     const bool any_phases_;
-    bool stopping_ = false;
+    bool begun_ = false, stopping_ = false;
 
     Speakers speakers_;
     SectionMemory memory_;
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t other_descriptors = 16;
 // So long after SIGTERM new connections may still come, as the platform's page has it (0.4 s, and its slack).
 constexpr Nanos arrivals_after_stop = 450 * ms;
+// What discovery's agent has counts as told from the first moment, and it answers at once: so its word is
+// waited for before the first decision, but no longer than a first silent connection and its successor take.
+constexpr Nanos list_within = 1500 * ms;
 constexpr int handlers_a_turn = 4096;
 // The loop wakes at least so often, to know of a stall.
 constexpr Nanos heartbeat = 100 * ms;
@@ -30,7 +33,7 @@
       member_(launch_.operators.member.on ? std::make_unique<Membership>(io_, time_, launch_, bridge_)
                                           : nullptr),
       watch_(io_, time_, member_ ? static_cast<ListTaker&>(*member_) : bridge_, launch_.discovery,
-             static_cast<std::uint32_t>(launch_.terms.places)),
+             static_cast<std::uint32_t>(launch_.terms.places), launch_.seed + 2),
       timer_(io_) {
     start_log(launch_.operators.log);
     bridge_.connect(front_, links_);
@@ -38,6 +41,7 @@
     if (member_) member_->start();
     front_.listen(launch_.listen.host, launch_.listen.port);
     watch_.start(launch_.known.generation);
+    list_by_ = time_.now() + list_within;
     await_signal();
     log_line("%s serves at %s:%u with %zu data nodes of list %llu", launch_.name.c_str(),
              launch_.listen.host.c_str(), front_.port(), bridge_.nodes().ready(),
@@ -91,6 +95,7 @@
     }
     time_.due.tell(time_.now());
     if (member_) member_->look();
+    if (!bridge_.begun() && (watch_.told() || time_.now() >= list_by_)) bridge_.begin();
     if (bridge_.next_round() <= time_.now()) {
         bridge_.run_round();
         if (member_) member_->after_round();
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -45,7 +45,7 @@
     std::unique_ptr<Membership> member_;  // of a fleet, where the operators' file says so
     DiscoveryWatch watch_;
     boost::asio::steady_timer timer_;
-    Nanos timer_at_ = Deadlines::never, stop_began_ = 0;
+    Nanos timer_at_ = Deadlines::never, stop_began_ = 0, list_by_ = 0;
 };
 
 }  // namespace tealcart
--- a/src/wire/client_front.cpp
+++ b/src/wire/client_front.cpp
@@ -13,8 +13,8 @@
 constexpr Nanos ms = 1'000'000;
 // Of the platform's page: a connection with no request open may be closed after 2 s; whoever sends what is no
 // request is owed an error or the end within 3 s of connecting, of which a quarter is left for the way.
-constexpr Nanos quiet_for = 2000 * ms;
-constexpr Nanos whole_within = 2750 * ms;
+constexpr Nanos idle_timeout = 2000 * ms;
+constexpr Nanos request_timeout = 2750 * ms;
 constexpr Nanos linger = 1000 * ms;       // for the far side to take an answer before its connection ends
 constexpr Nanos accept_pause = 100 * ms;  // after a failed accept
 constexpr std::size_t most_unread = longest_head + longest_body;  // of further requests, while one is out
@@ -66,6 +66,7 @@
 void ClientFront::take(tcp::socket socket) {
     error_code ec;
     socket.set_option(tcp::no_delay(true), ec);
+    socket.non_blocking(true, ec);  // for the last reads before it is closed
     const Handle h = clients_.take(std::move(socket));
     clients_.find(h)->idle_since = time_.earliest();  // it may have waited in the backlog
     await_request(h);
@@ -75,7 +76,7 @@
 // Guards against clients that connect, or ask once, and keep their connection without a word.
 void ClientFront::await_request(Handle h) {
     Client& c = *clients_.find(h);
-    time_.due.move(c.due, c.idle_since + quiet_for, *this, h);
+    time_.due.move(c.due, c.idle_since + idle_timeout, *this, h);
 }
 
 // Nothing of a next request has come in.
@@ -105,11 +106,12 @@
     return true;
 }
 
-// Reads all the time, so that a client that leaves is seen; not while too much of further requests waits.
+// Reads all the time, so that a client that leaves is seen. Of further requests it keeps so much; what goes
+// beyond that is read and left, and the answer that is owed is the last. Guards against sending on for a
+// client that sent much at once and went, whose end stands behind all that it sent.
 void ClientFront::read(Handle h) {
     Client& client = *clients_.find(h);
-    if (client.reads || client.ended || client.state == State::closed || client.in.size() >= most_unread)
-        return;
+    if (client.reads || client.ended || client.state == State::closed) return;
     client.reads = true;
     client.socket.async_read_some(
         boost::asio::buffer(client.buffer), [this, h](const error_code& ec, std::size_t n) {
@@ -120,7 +122,11 @@
             }
             c.ended = static_cast<bool>(ec);
             if (!ec && c.in.empty() && c.state != State::reading) c.ahead_since = time_.now();
-            if (!ec && c.state != State::lingering) c.in.append(c.buffer.data(), n);
+            const bool owing = c.state == State::asked || c.state == State::answering;
+            if (owing && c.in.size() + n > most_unread)
+                c.last = true;
+            else if (!ec && c.state != State::lingering)
+                c.in.append(c.buffer.data(), n);
             // Guards against reading at full speed what nobody wants.
             if (c.state == State::lingering && (c.unwanted += n) > most_unread) close(h);
             if (c.state == State::reading) advance(h);
@@ -139,7 +145,7 @@
     if (!begun && c.reader.begun()) {
         // Its client may have waited through a stall, or while the request before it was out.
         c.began = c.ahead_since > 0 ? c.ahead_since : std::max(c.idle_since, time_.earliest());
-        time_.due.move(c.due, (c.served ? time_.now() : c.idle_since) + whole_within, *this, h);
+        time_.due.move(c.due, (c.served ? time_.now() : c.idle_since) + request_timeout, *this, h);
     }
     if (c.in.empty()) c.ahead_since = 0;
     if (reading == Reading::more) {
@@ -202,16 +208,7 @@
     c.head.clear();
     c.body.clear();
     if (c.ended) return close(h);
-    if (c.last) {
-        // Closing with bytes unread would reset the connection and could destroy the answer under way.
-        error_code ec;
-        c.socket.shutdown(tcp::socket::shutdown_send, ec);
-        if (ec) return close(h);
-        c.state = State::lingering;
-        c.in.clear();
-        time_.due.move(c.due, time_.now() + linger, *this, h);
-        return read(h);
-    }
+    if (c.last) return half_close(h);
     c.state = State::reading;
     c.served = true;
     c.reader.next();
@@ -222,6 +219,20 @@
     if (c.state == State::reading) accept();  // an idle one can be closed for one that waits
 }
 
+// The lingering close: our side ends now, the connection once the client has ended its own, or some time
+// later. What still comes is read and never sent on; a request that crossed the end its client sends again.
+// Closing with bytes unread would reset the connection and could destroy an answer under way.
+void ClientFront::half_close(Handle h) {
+    Client& c = *clients_.find(h);
+    error_code ec;
+    c.socket.shutdown(tcp::socket::shutdown_send, ec);
+    if (ec) return close(h);
+    c.state = State::lingering;
+    c.in.clear();
+    time_.due.move(c.due, time_.now() + linger, *this, h);
+    read(h);
+}
+
 void ClientFront::on_due(Handle h, std::uint64_t) {
     if (h == Handle{}) {
         accept_again_ = Deadlines::none;
@@ -230,7 +241,7 @@
     Client& c = *clients_.find(h);
     c.due = Deadlines::none;
     if (c.state == State::reading && !c.reader.begun()) {
-        if (idle(c)) close(h);  // else its request is about to be read, which sets a time for it
+        if (idle(c)) half_close(h);  // else its request is about to be read, which sets a time for it
         return;
     }
     if (c.state == State::reading) {  // in the middle of a request
@@ -248,7 +259,7 @@
 
 void ClientFront::close_idle(Nanos since) {
     clients_.each([this, since](Handle h, Client& c) {
-        if (c.idle_since <= since && idle(c)) close(h);
+        if (c.idle_since <= since && idle(c)) half_close(h);
     });
 }
 
@@ -276,6 +287,9 @@
     c->state = State::closed;
     time_.due.drop(c->due);
     error_code ec;
+    c->socket.shutdown(tcp::socket::shutdown_send, ec);
+    for (std::size_t left = most_unread; !ec && left > 0;)  // unread bytes would make it a reset
+        left -= std::min(left, c->socket.read_some(boost::asio::buffer(c->buffer), ec));
     c->socket.close(ec);
     settle(h);
 }
--- a/src/wire/client_front.hpp
+++ b/src/wire/client_front.hpp
@@ -48,9 +48,9 @@
 
     void answer(Handle client, Answer answer) override;
 
-    // From now on answers close their connection, and idle ones are closed.
+    // From now on answers close their connection, and idle ones are half-closed.
     void begin_stop();
-    // Closes connections that have been idle since then, but for those whose next request has come in.
+    // Half-closes connections that have been idle since then, but for those whose next request has come in.
     void close_idle(Nanos since);
     // Closes the listening socket, if no client waits in its backlog; false if one did.
     bool end_listening();
@@ -73,7 +73,7 @@
         std::string head, body;    // being written
         bool served = false;       // at least one request
         bool continues = false;    // word to go on is being written
-        std::size_t unwanted = 0;  // read while lingering
+        std::size_t unwanted = 0;  // read in the lingering close
         Nanos idle_since = 0, began = 0;
         Nanos ahead_since = 0;  // when the next request began to come in while one was out; 0 for not
         Deadlines::Ticket due = Deadlines::none;
@@ -86,6 +86,7 @@
     void advance(Handle h);
     void write(Handle h);
     void flushed(Handle h);
+    void half_close(Handle h);
     void close(Handle h);
     void settle(Handle h);
     bool idle(const Client& client) const;
--- a/src/wire/discovery_watch.cpp
+++ b/src/wire/discovery_watch.cpp
@@ -11,9 +11,16 @@
 using boost::system::error_code;
 
 constexpr Nanos ms = 1'000'000;
-constexpr Nanos wait = 20'000 * ms;      // a call may wait so long for news
-constexpr Nanos late = 1000 * ms;        // and be as late as this before its connection is given up
-constexpr Nanos again_after = 100 * ms;  // a broken call is made anew
+// A change that a silent connection kept from us counts as told 6 s after discovery had it: the longest call
+// and its slack, then two connections that fail in turn, stay under that. The first call after a failure
+// is short, to show that its connection lives.
+constexpr Nanos longest_wait = 2500 * ms;
+constexpr Nanos first_wait = 100 * ms;
+constexpr Nanos late = 500 * ms;              // behind its wait, before its connection is given up
+constexpr Nanos unproven_within = 1000 * ms;  // to be connected, and to bring a first answer
+constexpr Nanos first_backoff = 100 * ms;     // doubled for each failure in a row; half of it is jitter
+constexpr Nanos longest_backoff = 400 * ms;
+constexpr Nanos idle_pause = 100 * ms;  // after an early answer with no news; 200 ms would end the watch
 constexpr std::size_t longest_list = 8 * 1024 * 1024;
 enum Due : std::uint64_t { silent, again, next };
 
@@ -22,8 +29,9 @@
 DiscoveryWatch::Connection::Connection(boost::asio::io_context& io) : socket(io), reader(longest_list) {}
 
 DiscoveryWatch::DiscoveryWatch(boost::asio::io_context& io, Timekeeper& time, ListTaker& taker,
-                               HostPort address, std::uint32_t places)
-    : io_(io), time_(time), taker_(taker), address_(std::move(address)), places_(places) {}
+                               HostPort address, std::uint32_t places, std::uint64_t seed)
+    : io_(io), time_(time), taker_(taker), address_(std::move(address)), places_(places), chance_(seed),
+      backoff_(first_backoff) {}
 
 void DiscoveryWatch::start(std::uint64_t generation) {
     generation_ = generation;
@@ -50,7 +58,8 @@
     if (connection_ && connection_->asked) std::swap(former_, connection_);
     end(connection_);
     whole_ = true;
-    silent_before_ = false;
+    silent_before_ = sound_ = false;
+    backoff_ = first_backoff;
     connect();
 }
 
@@ -59,7 +68,7 @@
     error_code ec;
     const auto host = boost::asio::ip::make_address(address_.host, ec);
     if (ec) return give_up("its address is no number");
-    time_.due.move(due_, time_.now() + late, *this, Handle{}, silent);
+    time_.due.move(due_, time_.now() + unproven_within, *this, Handle{}, silent);
     connection_->socket.async_connect({host, address_.port}, [this, c = connection_](const error_code& e) {
         if (c != connection_) return;
         if (e) return lose(c, e.message().c_str());
@@ -71,10 +80,12 @@
 
 void DiscoveryWatch::ask() {
     std::string target = "/api/targets";
-    if (!whole_) target += "?index=" + std::to_string(generation_) + "&wait=" + std::to_string(wait / ms);
+    waits_ = sound_ ? longest_wait : first_wait;
+    if (!whole_) target += "?index=" + std::to_string(generation_) + "&wait=" + std::to_string(waits_ / ms);
     asked_at_ = time_.now();
     connection_->out = write_get(address_.host + ":" + std::to_string(address_.port), target);
-    time_.due.move(due_, time_.now() + (whole_ ? 0 : wait) + late, *this, Handle{}, silent);
+    const Nanos within = sound_ && !whole_ ? longest_wait + late : unproven_within;
+    time_.due.move(due_, asked_at_ + within, *this, Handle{}, silent);
     boost::asio::async_write(connection_->socket, boost::asio::buffer(connection_->out),
                              [this, c = connection_](const error_code& e, std::size_t) {
                                  if (e) lose(c, e.message().c_str());
@@ -87,9 +98,10 @@
     life->socket.async_read_some(boost::asio::buffer(life->buffer),
                                  [this, c = life](const error_code& e, std::size_t n) {
                                      if (c != connection_ && c != former_) return;
-                                     if (e) return lose(c, e.message().c_str());
+                                     const bool ended = e == boost::asio::error::eof;
+                                     if (e && !ended) return lose(c, e.message().c_str());
                                      c->in.append(c->buffer.data(), n);
-                                     take_answer(c);
+                                     take_answer(c, ended);
                                  });
 }
 
@@ -98,10 +110,11 @@
     if (c == connection_) give_up(why);
 }
 
-void DiscoveryWatch::take_answer(const Life& c) {
+// An answer without a length ends with its stream, where that ends cleanly: a reset is no end.
+void DiscoveryWatch::take_answer(const Life& c, bool ended) {
     AnswerReader& reader = c->reader;
-    const Reading reading = reader.feed(c->in);
-    if (reading == Reading::more) return read(c);
+    const Reading reading = ended ? reader.end() : reader.feed(c->in);
+    if (reading == Reading::more) return ended ? lose(c, "End of file") : read(c);
     const auto list = reading == Reading::done && reader.status() == 200
                           ? read_targets(reader.body(), places_)
                           : std::nullopt;
@@ -122,6 +135,8 @@
         log_line("discovery answers again, list %llu", static_cast<unsigned long long>(list->generation));
     silent_before_ = false;
     whole_ = false;
+    told_ = sound_ = true;
+    backoff_ = first_backoff;
     generation_ = list->generation;
     end(former_);
     const bool kept = reader.keep_alive();
@@ -130,17 +145,20 @@
     c->asked = false;
     if (!kept) return connect();
     // One that answers at once and with nothing, time after time, is not asked without a pause.
-    if (list->nodes.empty() && time_.now() - asked_at_ < wait / 2)
-        return time_.due.move(due_, time_.now() + again_after, *this, Handle{}, next);
+    if (list->nodes.empty() && time_.now() - asked_at_ < waits_ / 2)
+        return time_.due.move(due_, time_.now() + idle_pause, *this, Handle{}, next);
     ask();
 }
 
 void DiscoveryWatch::give_up(const char* why) {
     if (!silent_before_) log_line("discovery: %s; the list stands", why);
     silent_before_ = true;
+    sound_ = false;
     time_.due.drop(due_);
     end(connection_);
-    time_.due.move(due_, time_.now() + again_after, *this, Handle{}, again);
+    std::uniform_int_distribution<Nanos> jitter(backoff_ / 2, backoff_);
+    time_.due.move(due_, time_.now() + jitter(chance_), *this, Handle{}, again);
+    backoff_ = std::min(2 * backoff_, longest_backoff);
 }
 
 void DiscoveryWatch::on_due(Handle, std::uint64_t what) {
--- a/src/wire/discovery_watch.hpp
+++ b/src/wire/discovery_watch.hpp
@@ -1,11 +1,13 @@
-// The watch on discovery's list of data nodes: one call after the other on a kept connection, made anew when
-// it breaks or stays silent for longer than the call may wait. Once told of another address it goes there at
-// once; the call that is out at the old one may still bring news until the new one has spoken.
+// The watch on discovery's list of data nodes: one long poll after the other on a kept connection, made anew
+// with backoff and jitter when it breaks or stays silent for longer than the call may wait. Whatever happens,
+// a change is heard within 6 s of when discovery had it and could be reached. Once told of another address it
+// goes there at once; the call that is out at the old one may still bring news until the new one has spoken.
 #pragma once
 
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <random>
 #include <string>
 
 #include "tables/slots.hpp"
@@ -24,12 +26,14 @@
 class DiscoveryWatch final : public DueHandler {
   public:
     DiscoveryWatch(boost::asio::io_context& io, Timekeeper& time, ListTaker& taker, HostPort address,
-                   std::uint32_t places);
+                   std::uint32_t places, std::uint64_t seed);
 
     // Watches for what is newer than `generation`.
     void start(std::uint64_t generation);
     void stop();
     void follow(HostPort address);
+    // Whether discovery has told the list since the start.
+    bool told() const { return told_; }
     void on_due(Handle, std::uint64_t what) override;
 
   private:
@@ -39,7 +43,7 @@
     void connect();
     void ask();
     void read(const Life& c);
-    void take_answer(const Life& c);
+    void take_answer(const Life& c, bool ended);
     void lose(const Life& c, const char* why);
     static void end(Life& connection);
     void give_up(const char* why);
@@ -50,9 +54,12 @@
     HostPort address_;
     const std::uint32_t places_;
     std::uint64_t generation_ = 0;
-    Nanos asked_at_ = 0;
-    bool whole_ = false;          // the next call asks for the whole list
-    bool silent_before_ = false;  // told in the log
+    std::knuth_b chance_;
+    Nanos asked_at_ = 0, waits_ = 0;     // the call that is out, and for how long it may wait for news
+    Nanos backoff_;                      // after the next failure
+    bool told_ = false, sound_ = false;  // sound: the last call was answered
+    bool whole_ = false;                 // the next call asks for the whole list
+    bool silent_before_ = false;         // told in the log
     // Each connection has a life of its own: what completes for an earlier one is void.
     struct Connection {
         explicit Connection(boost::asio::io_context& io);
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -41,6 +41,12 @@
         return this->is_done() ? Reading::done : Reading::more;
     }
 
+    Reading end() {
+        error_code ec;
+        if (this->got_some()) this->put_eof(ec);
+        return this->is_done() ? Reading::done : Reading::more;
+    }
+
     std::string body;
     int status = 0;
     error_code error;
@@ -147,6 +153,7 @@
 AnswerReader::~AnswerReader() = default;
 
 Reading AnswerReader::feed(std::string& in) { return parser_->feed(in); }
+Reading AnswerReader::end() { return parser_->end(); }
 int AnswerReader::status() const { return parser_->status; }
 bool AnswerReader::keep_alive() const { return parser_->keep_alive(); }
 const std::string& AnswerReader::body() const { return parser_->body; }
--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -48,6 +48,8 @@
     ~AnswerReader();
 
     Reading feed(std::string& in);
+    // The stream has ended cleanly, and all of it has been fed: done if that is where the answer ends.
+    Reading end();
     int status() const;
     bool keep_alive() const;
     const std::string& body() const;
--- a/tests/bridge_test.cpp
+++ b/tests/bridge_test.cpp
@@ -127,6 +127,7 @@
 
     Rig() {
         bridge.connect(model, model);
+        bridge.begin();
         list(0, {Availability::ready, Availability::ready, Availability::ready, Availability::ready});
     }
     // Nodes 0 .. 3, two at each place.
--- /dev/null
+++ b/tests/discovery_test.cpp
@@ -0,0 +1,141 @@
+// The watch on discovery on real connections and a given clock: what it owes when calls fail, each in the bad
+// order. docs/endings.md lists the other endings and their tests.
+#include <catch2/catch.hpp>
+
+#include "helpers.hpp"
+#include "wire/discovery_watch.hpp"
+
+using namespace tealcart;
+using tealcart::test::ms;
+using tealcart::test::Peer;
+using tealcart::test::StandIn;
+
+namespace {
+
+const std::string nothing_new = R"({"generation":4,"reset":false,"instances":[]})";
+const std::string list_five =
+    R"({"generation":5,"reset":true,"instances":[{"instanceId":"a","hostPort":"127.0.0.1:9","zone":"z",)"
+    R"("machineType":"m","cell":0,"lifecycle":"draining","startedAtMs":0}]})";
+
+std::string reply(const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Discovery's agent on loopback and a watch on it, on a clock that the test moves.
+struct WatchRig final : ListTaker {
+    explicit WatchRig(std::uint64_t seed = 1) : seed_(seed) {}
+
+    void on_list(const TargetList& list) override { generation = list.generation; }
+    void start() { watch.start(4); }
+    // All that can happen without time passing.
+    void settle() {
+        while (io.poll() > 0) {
+        }
+        time.due.tell(now);
+        while (io.poll() > 0) {
+        }
+    }
+    template <typename Happened>
+    void pass_until(Happened happened, Nanos most) {
+        for (const Nanos end = now + most; !happened() && now < end; now += 10 * ms) settle();
+        settle();
+    }
+    std::size_t calls() const { return heads.size(); }
+
+    std::uint64_t seed_;
+    boost::asio::io_context io{1};
+    Nanos now = 1'000'000 * ms;
+    Timekeeper time{now};
+    std::uint64_t generation = 0;
+    std::vector<std::pair<std::string, std::shared_ptr<Peer>>> heads;
+    std::function<void(Peer&, std::size_t)> on_call;  // with its number, from 0
+    StandIn agent{io, [this](Peer& peer) {
+                      const auto end = peer.got.find("\r\n\r\n");
+                      if (end == std::string::npos) return;
+                      heads.emplace_back(peer.got.substr(0, end), peer.shared_from_this());
+                      peer.got.erase(0, end + 4);
+                      if (on_call) on_call(peer, heads.size() - 1);
+                  }};
+    DiscoveryWatch watch{io, time, *this, *read_host_port(agent.address()), 4, seed_};
+};
+
+}  // namespace
+
+TEST_CASE("a change is heard within 6 s of when discovery had it, whatever became of the calls") {
+    // The short call is answered; the long one falls silent the moment it is asked, and that is when the
+    // change comes. Then so many connections fail, each in its way, before one is answered.
+    enum Way { silent, reset, refused_status, garbage };
+    const Way way = GENERATE(silent, reset, refused_status, garbage);
+    const std::size_t failures = GENERATE(0U, 1U, 2U);
+    WatchRig rig(GENERATE(1U, 2U, 3U));
+    rig.on_call = [&](Peer& peer, std::size_t n) {
+        if (n == 0) return peer.send(reply(nothing_new));
+        if (n == 1) return;
+        if (n == 2 + failures) return peer.send(reply(list_five));
+        if (n > 2 + failures) return;
+        if (way == reset) peer.reset();
+        if (way == refused_status) peer.send("HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n");
+        if (way == garbage) peer.send(reply("{"));
+    };
+    rig.start();
+    rig.pass_until([&] { return rig.calls() == 2; }, 1000 * ms);
+    REQUIRE(rig.calls() == 2);
+    const Nanos had = rig.now;
+    rig.pass_until([&] { return rig.generation == 5; }, 30'000 * ms);
+    CHECK(rig.generation == 5);
+    CHECK(rig.now - had < 6000 * ms);
+}
+
+TEST_CASE("a process that starts hears what its agent has within 1.5 s, its first connection silent") {
+    WatchRig rig;
+    rig.on_call = [](Peer& peer, std::size_t n) {
+        if (n == 1) peer.send(reply(list_five));
+    };
+    rig.start();
+    const Nanos began = rig.now;
+    rig.pass_until([&] { return rig.generation == 5; }, 30'000 * ms);
+    CHECK(rig.watch.told());
+    CHECK(rig.now - began < 1500 * ms);
+}
+
+TEST_CASE("discovery that is down is asked again with backoff and jitter, and heard at once at its return") {
+    std::vector<std::vector<Nanos>> asked;
+    for (const std::uint64_t seed : {1, 2}) {
+        WatchRig rig(seed);
+        bool down = true;
+        auto& times = asked.emplace_back();
+        rig.on_call = [&](Peer& peer, std::size_t) {
+            times.push_back(rig.now);
+            if (down)
+                peer.reset();
+            else if (rig.generation != 5)
+                peer.send(reply(list_five));
+        };
+        rig.start();
+        rig.pass_until([] { return false; }, 10'000 * ms);
+        CHECK(times.size() >= 10'000 / 420);
+        CHECK(times.size() <= 10'000 / 200 + 3);
+        down = false;
+        const Nanos back = rig.now;
+        rig.pass_until([&] { return rig.generation == 5; }, 10'000 * ms);
+        CHECK(rig.now - back <= 420 * ms);
+    }
+    CHECK(asked[0] != asked[1]);
+}
+
+TEST_CASE("an answer without a length ends with its stream, but never with a reset") {
+    const bool cut = GENERATE(false, true);
+    WatchRig rig;
+    rig.on_call = [cut](Peer& peer, std::size_t n) {
+        if (n > 0) return;
+        peer.send("HTTP/1.1 200 OK\r\n\r\n" + list_five);  // a whole list by its looks
+        if (!cut) peer.socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    };
+    rig.start();
+    rig.pass_until([&] { return rig.calls() == 1; }, 100 * ms);
+    if (cut) rig.heads[0].second->reset();
+    rig.pass_until([&] { return rig.calls() == 2; }, 2000 * ms);
+    CHECK(rig.calls() == 2);
+    CHECK(rig.generation == (cut ? 0 : 5));
+    CHECK(rig.heads[1].first.find(cut ? "index=4&" : "index=5&") != std::string::npos);
+}
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -121,7 +121,7 @@
  {"name": "part", "promise": 2000.0, "deadline": 4000.0, "semantics": "repeatable", "late_worth": 0.5},
  {"name": "keyed", "promise": 2000.0, "deadline": 4000.0, "repeat_window": 3000.0, "semantics": "by_key"}]})";
 
-// One connection of a stand-in: all that came in, and whether the far side has ended it.
+// One connection of a stand-in: all that came in, and whether and how the far side has ended it.
 class Peer : public std::enable_shared_from_this<Peer> {
   public:
     using Seen = std::function<void(Peer&)>;
@@ -133,6 +133,7 @@
         socket.async_read_some(boost::asio::buffer(buffer_), [self = shared_from_this()](auto ec, auto n) {
             self->got.append(self->buffer_.data(), n);
             self->ended = static_cast<bool>(ec);
+            self->broken = ec && ec != boost::asio::error::eof;
             if (self->seen_) self->seen_(*self);
             if (!ec) self->read();
         });
@@ -150,7 +151,7 @@
 
     Socket socket;
     std::string got;
-    bool ended = false;
+    bool ended = false, broken = false;  // broken: by a reset, or the like
 
   private:
     Seen seen_;
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -1,10 +1,13 @@
-#define CATCH_CONFIG_MAIN
+#define CATCH_CONFIG_RUNNER
 #include <malloc.h>
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <new>
+#include <set>
 
 #include "helpers.hpp"
 
@@ -33,3 +36,38 @@
 }
 void operator delete(void* at, std::size_t) noexcept { operator delete(at); }
 void operator delete(void* at, const std::nothrow_t&) noexcept { operator delete(at); }
+
+// A test named in KNOWN-RED.txt (its form is scripts/known-red's to check) is passed over while it fails;
+// once it passes, the run fails until its line is taken out.
+namespace {
+
+std::set<std::string> failed, passed;
+
+struct Verdicts final : Catch::TestEventListenerBase {
+    using TestEventListenerBase::TestEventListenerBase;
+    void testCaseEnded(const Catch::TestCaseStats& stats) override {
+        (stats.totals.testCases.failed > 0 ? failed : passed).insert(stats.testInfo.name);
+    }
+};
+CATCH_REGISTER_LISTENER(Verdicts)
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    Catch::Session session;
+    const int said = session.run(argc, argv);
+    const char* const named = std::getenv("KNOWN_RED");
+    std::ifstream file(named != nullptr ? named : "");
+    std::set<std::string> known;
+    for (std::string line; std::getline(file, line);) known.insert(line.substr(0, line.find(" | ")));
+    int wrong = 0, passed_over = 0;
+    for (const std::string& test : failed)
+        if (known.contains(test))
+            ++passed_over, std::printf("known red, passed over: %s\n", test.c_str());
+        else
+            ++wrong;
+    for (const std::string& test : passed)
+        if (known.contains(test)) ++wrong, std::printf("known red, but it passes: %s\n", test.c_str());
+    if (wrong > 0) return said != 0 ? said : 1;
+    return passed_over > 0 ? 0 : said;
+}
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -65,10 +65,20 @@
     boost::asio::io_context io{1};
     std::vector<std::unique_ptr<DataNode>> nodes;
     std::vector<std::pair<std::string, std::shared_ptr<Peer>>> watches;
+    bool discovery_silent = false;
+    // The short call after a failure, or at the start, is answered at once: there is nothing new.
     Peer::Seen on_watch = [this](Peer& peer) {
         for (std::size_t end; (end = peer.got.find("\r\n\r\n")) != std::string::npos;) {
-            watches.emplace_back(peer.got.substr(0, end), peer.shared_from_this());
+            const std::string head = peer.got.substr(0, end);
             peer.got.erase(0, end + 4);
+            if (discovery_silent || head.find("&wait=100 ") == std::string::npos) {
+                watches.emplace_back(head, peer.shared_from_this());
+                continue;
+            }
+            const auto index = head.substr(head.find("index=") + 6, head.find('&') - head.find("index=") - 6);
+            const std::string body = R"({"generation":)" + index + R"(,"reset":false,"instances":[]})";
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                      body);
         }
     };
     StandIn discovery{io, on_watch}, other_discovery{io, on_watch};
@@ -79,13 +89,14 @@
     int reads = 0;
 
     // With so many nodes, in turn at places 0 and 1; both hold every shard.
-    explicit World(int count = 2, std::size_t descriptors = 256, std::string file = "")
-        : sockets(descriptors), operators(std::move(file)) {
+    explicit World(int count = 2, std::size_t descriptors = 256, std::string file = "", bool silent = false)
+        : discovery_silent(silent), sockets(descriptors), operators(std::move(file)) {
         for (int n = 0; n < count; ++n) {
             nodes.push_back(std::make_unique<DataNode>(io));
             known += (n > 0 ? "," : "") + entry(n, "up");
         }
         service = std::make_unique<Service>(io, [this] { return ++reads, launch(); });
+        if (!silent) until([this] { return service->bridge().begun(); });
     }
     Launch launch() const {
         Launch made = read_launch(R"({"name":"r","listen":"127.0.0.1:1","discovery":")" + lookout +
@@ -751,7 +762,8 @@
     rig.now += 1;
     rig.time.due.tell(rig.now);
     rig.until([&] { return silent->ended && served->ended; });
-    CHECK(rig.front.open() == 1);
+    for (const auto& c : {silent, served}) c->socket.close();
+    rig.until([&] { return rig.front.open() == 1; });
     CHECK(rig.gone == 0);
 }
 
@@ -780,6 +792,66 @@
     rig.until([&] { return rig.gone == 1; });
 }
 
+TEST_CASE("a request that crosses the end of its resting connection is not taken, and resets nothing") {
+    // The front ends the connection, for one reason or the other; its client sends before it has seen that.
+    const bool stops = GENERATE(true, false);
+    FrontRig rig(5);
+    const auto c = rig.client("");
+    rig.until([&] { return rig.front.open() == 1; });
+    if (stops) {
+        rig.front.begin_stop();
+    } else {
+        rig.now += 2000 * test::ms;
+        rig.time.due.tell(rig.now);
+    }
+    c->send(get);
+    rig.until([&] { return c->ended; });
+    CHECK_FALSE(c->broken);
+    CHECK(c->got.empty());
+    c->socket.close();
+    rig.until([&] { return rig.front.open() == 0; });
+    CHECK(rig.taken.empty());
+}
+
+TEST_CASE("a resting client that never ends its side is let go a second after ours") {
+    FrontRig rig(5);
+    const auto c = rig.client("");
+    rig.until([&] { return rig.front.open() == 1; });
+    rig.front.begin_stop();
+    rig.until([&] { return c->ended; });
+    CHECK(rig.front.open() == 1);
+    rig.now += 1000 * test::ms;
+    rig.time.due.tell(rig.now);
+    rig.until([&] { return rig.front.open() == 0; });
+}
+
+TEST_CASE("a client that sends much at once and goes is seen to have gone behind all that it sent") {
+    FrontRig rig(5);
+    const auto c = rig.client("GET /held HTTP/1.1\r\n\r\n");
+    rig.until([&] { return rig.taken.size() == 1; });
+    for (int i = 0; i < 64; ++i) {  // far more than is kept of further requests, in step with the reads
+        c->send(std::string(8192, 'x'));
+        rig.io.poll();
+    }
+    c->socket.close();
+    rig.until([&] { return rig.gone == 1; });
+}
+
+TEST_CASE("a client that sends much and stays gets its answer, which is its last") {
+    FrontRig rig(5);
+    const auto c = rig.client("GET /held HTTP/1.1\r\n\r\n");
+    rig.until([&] { return rig.taken.size() == 1; });
+    for (int i = 0; i < 16; ++i) {
+        c->send(get + std::string(8192, ' '));
+        rig.io.poll();
+    }
+    rig.front.answer(rig.last, {200, "yes"});
+    rig.until([&] { return c->ended; });
+    CHECK(c->got.find("Connection: close") != std::string::npos);
+    CHECK(c->got.find("\r\n\r\nyes") != std::string::npos);
+    CHECK(rig.taken.size() == 1);
+}
+
 TEST_CASE("what a client goes on to send after its last answer is read no further than one request is long") {
     // Guards against clients that send without end what was turned away at its head.
     FrontRig rig(5);
@@ -850,3 +922,33 @@
     CHECK(nodes_asked(m.text + "calls {\n  parts = 2\n  cost = \"40ms\"\n}\n") == 6);
     CHECK(nodes_asked(m.text) > 6);
 }
+
+TEST_CASE("a process that starts goes by no list older than its agent's, and is ready once it has that") {
+    // The bad order: the client's query is there before discovery's word, which drains a node of the old
+    // list.
+    World w(2, 256, "", true);
+    const auto c = w.client();
+    c->send("GET /-/ready HTTP/1.1\r\n\r\n");
+    CHECK(w.answer(*c).first == 503);
+    c->send(query("A"));
+    w.until([&] { return w.watches.size() == 1; });
+    w.until([&] { return w.service->bridge().held() == 3; });  // the query and its parts
+    w.watches[0].second->send(
+        reply(R"({"generation":5,"reset":false,"instances":[)" + w.entry(0, "draining") + "]}"));
+    CHECK(w.answer(*c) == std::pair(200, whole_answer));
+    CHECK(w.nodes[0]->calls.empty());
+    c->send("GET /-/ready HTTP/1.1\r\n\r\n");
+    CHECK(w.answer(*c).first == 200);
+}
+
+TEST_CASE("with discovery silent, a process that starts is ready all the same, well within 10 s") {
+    World w(2, 256, "", true);
+    const auto began = std::chrono::steady_clock::now();
+    w.until([&] { return w.service->bridge().begun(); });
+    CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(5));
+    const auto c = w.client();
+    c->send("GET /-/ready HTTP/1.1\r\n\r\n");
+    CHECK(w.answer(*c).first == 200);
+    c->send(query("A"));
+    CHECK(w.answer(*c) == std::pair(200, whole_answer));
+}
