--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <filesystem>
 #include <set>
 
 #include "helpers.hpp"
@@ -955,3 +956,81 @@
     c->send(query("A"));
     CHECK(w.answer(*c) == std::pair(200, whole_answer));
 }
+
+TEST_CASE("nothing is begun for a client that has gone, neither first nor further, once its dial comes up") {
+    // The bad order: a first leaf call waits for a connection that is slow to come up, another has failed and
+    // would go again, when the client leaves; then the connection could be made.
+    World w(2);
+    boost::asio::ip::tcp::acceptor door(w.io);
+    const boost::asio::ip::tcp::endpoint loopback(boost::asio::ip::address_v4::loopback(), 0);
+    door.open(loopback.protocol());
+    door.bind(loopback);
+    door.listen(0);  // its backlog is full with the first of these, and the router's dial has to wait
+    std::vector<boost::asio::ip::tcp::socket> before;
+    for (int i = 0; i < 3; ++i) before.emplace_back(w.io).async_connect(door.local_endpoint(), [](auto) {});
+    auto moved = w.entry(0, "up");
+    const auto port = std::to_string(door.local_endpoint().port());
+    moved.replace(moved.find("127.0.0.1:"), w.nodes[0]->door.address().size(), "127.0.0.1:" + port);
+    w.until([&] { return w.watches.size() == 1; });
+    w.watches[0].second->send(reply(R"({"generation":5,"reset":false,"instances":[)" + moved + "]}"));
+    w.until([&] { return w.watches.size() == 2; });
+    std::vector<Call> held;
+    w.nodes[1]->on_call = [&](const Call& call) { held.push_back(call); };
+    const auto leaver = w.client(), other = w.client();
+    leaver->send(query("A"));
+    w.until([&] { return held.size() == 1; });  // the other part's call waits for the dial
+    leaver->socket.close();
+    DataNode::say(held[0], "ERROR", "");
+    w.until([&] { return w.service->bridge().held() == 0; });
+    std::vector<boost::asio::ip::tcp::socket> taken;
+    std::function<void()> take = [&] {
+        door.async_accept([&](auto ec, auto socket) {
+            if (!ec) taken.push_back(std::move(socket)), take();
+        });
+    };
+    take();
+    // Another client's query runs its time out meanwhile, which is longer than a dial may take.
+    other->send(query("B", "", 600));
+    CHECK(w.answer(*other).first != 200);
+    for (const Call& call : w.nodes[1]->calls) CHECK((call.id != "A.0" || call.peer == held[0].peer));
+    int calls_of_a = 0;
+    for (const Call& call : w.nodes[1]->calls) calls_of_a += call.id.find("A.") == 0;
+    CHECK(calls_of_a == 1);
+    for (auto& socket : taken) {
+        std::array<char, 512> bytes;
+        boost::system::error_code ec;
+        socket.non_blocking(true);
+        const std::size_t n = socket.read_some(boost::asio::buffer(bytes), ec);
+        CHECK(std::string_view(bytes.data(), n).find("A.") == std::string_view::npos);
+    }
+    door.close();
+    w.io.poll();
+}
+
+namespace {
+
+std::size_t open_descriptors() {
+    const std::filesystem::directory_iterator all("/proc/self/fd");
+    return static_cast<std::size_t>(std::distance(begin(all), end(all))) - 1;
+}
+
+}  // namespace
+
+TEST_CASE("idle clients that fill the descriptors while discovery is down don't keep the watch out") {
+    World w(2, 64);  // thirty-two for clients
+    w.until([&] { return w.watches.size() == 1; });
+    const std::size_t before = open_descriptors() - w.discovery.peers.size() - 1;  // but for the watch's own
+    w.discovery_silent = true;
+    w.watches[0].second->reset();
+    std::vector<std::shared_ptr<Peer>> idle;
+    for (int i = 0; i < 48; ++i) idle.push_back(w.client());
+    w.until([&] { return w.watches.size() == 3; });  // two calls that were not answered
+    const auto ours = [&] { return open_descriptors() - before - idle.size() - w.discovery.peers.size(); };
+    CHECK(ours() >= 32);
+    CHECK(ours() <= 64 - 16 + 2);
+    w.until([&] { return w.watches.size() == 4; });
+    w.watches[3].second->send(
+        reply(R"({"generation":6,"reset":false,"instances":[)" + w.entry(0, "draining") + "]}"));
+    w.until([&] { return w.watches.size() == 5; });
+    CHECK(w.watches[4].first.find("index=6&") != std::string::npos);
+}
