--- a/src/router/query_router.cpp
+++ b/src/router/query_router.cpp
@@ -1,12 +1,9 @@
-// The decisions of a query router, all of them. Interface: query_router.hpp
-// beside this file.
+// The decisions of a query router, all of them. Interface: query_router.hpp beside this file.
 //
-// The caller makes one QueryRouter for each life of a router and calls round()
-// once a round with all that came in: the on_... handlers only note it. Then it
-// decides, in this order: pressure and p, answers and early rejections, first
-// leaf calls, further leaf calls. The same rounds give the same decisions.
-// docs/design.md says when each departure acts, docs/on-call.md explains the
-// log lines.
+// The caller makes one QueryRouter for each life of a router and calls round() once a round with all that
+// came in: the on_... handlers only note it. Then it decides, in this order: pressure and p, answers and
+// early rejections, first leaf calls, further leaf calls. The same rounds give the same decisions.
+// docs/design.md says when each departure acts, docs/on-call.md explains the log lines.
 
 #include "router/query_router.hpp"
 
@@ -46,8 +43,7 @@
 constexpr int most_doublings = 3;
 constexpr double fade = 20 * second;       // what was seen so long ago counts for a third
 constexpr double news_after = 6 * second;  // a sample counts for more where the last one is as old
-// A slice of a tenant's traffic is thin and uneven: so much more, and so many
-// at once, are no sign.
+// A slice of a tenant's traffic is thin and uneven: so much more, and so many at once, are no sign.
 constexpr double slice_leeway = 1.5;
 constexpr double least_share = 4;
 constexpr Nanos trial_after = 5 * second;  // so soon after a break a repeat goes out part by part
@@ -71,9 +67,8 @@
     std::uint32_t id = 0, query = none, shard = 0;
     double weight = 0, cost = 1;  // cost against the vertical's usual
     std::vector<LeafCall> calls;
-    int out = 0,
-        spent = 0;      // spent: leaf calls of earlier legs, which count toward the cap
-    Nanos held_to = 0;  // turned away unseen: asked again no sooner
+    int out = 0, spent = 0;  // spent: leaf calls of earlier legs, which count toward the cap
+    Nanos held_to = 0;       // turned away unseen: asked again no sooner
     bool planned = false, in = false, lost = false, late = false, late_likely = false;
 };
 
@@ -191,15 +186,13 @@
         for (std::uint32_t n = 0; kind != ListKind::delta && n < place_.size(); ++n) leave(n);
         for (const NodeEntry& e : entries) {
             const std::uint32_t n = node_index(e.node);
-            // Drains are kept: from the moment it is told, nothing new goes to a node
-            // that drains or is gone.
+            // Drains are kept: from the moment it is told, nothing new goes to a node that drains or is gone.
             leave(n);
             if (e.availability == Availability::gone) continue;
             listed_ += ready_[n] = e.availability == Availability::ready;
             group_[n] = group_ids_.put(e.group);
             groups_.resize(group_ids_.size());
-            if (e.started_at != started_at_[n]) {  // a new process: what was learned
-                                                   // of the old one is void
+            if (e.started_at != started_at_[n]) {  // a new process: what was learned of the old one is void
                 started_at_[n] = e.started_at;
                 took_[n] = usual() / std::sqrt(warmth(n));  // slow until its calls say otherwise
                 sampled_at_[n] = now_;
@@ -209,8 +202,7 @@
             const auto later = [&](auto i) { return node_id_[i] > e.node; };
             here.insert(std::find_if(here.begin(), here.end(), later), n);
         }
-        // A gone node is forgotten, unless calls to it are out or count, or it is
-        // cold: ids may be ever new.
+        // A gone node is forgotten, unless calls to it are out or count, or it is cold: ids may be ever new.
         for (std::uint32_t n = 0; n < place_.size(); ++n)
             if (place_[n] == none && open_[n] + recent_ended_[n] == 0 && warmth(n) >= 1 &&
                 nodes_.find(node_id_[n]) == n)
@@ -228,9 +220,8 @@
         Query& q = queries_[i] = Query{};
         Vertical& v = verticals_[a.vertical];
         q.id = a.id, q.ask = a.ask, q.vertical = a.vertical;
-        // A repeat for which the client waits less than for others is a late one:
-        // its first try set the clock. Unmarked, no more short waits pass for late
-        // tries than were given up lately.
+        // A repeat for which the client waits less than for others is a late one: its first try set the
+        // clock. Unmarked, no more short waits pass for late tries than were given up lately.
         const Nanos span = a.give_up_at - now_;
         v.full_span = std::max(v.full_span, span);
         const bool late = a.began == 0 && (a.again || repeats_due_ >= 1) && span < v.full_span - margin_;
@@ -275,8 +266,7 @@
 
     void on_timer(std::uint64_t) override { beat_set_ = false; }
 
-    // Named by a part, it ends the sends of its whole query, which still gets its
-    // final answer.
+    // Named by a part, it ends the sends of its whole query, which still gets its final answer.
     void on_dropped(std::uint32_t id) override {
         if (const std::uint32_t p = part_ids_.find(id); p != none) {
             for (const std::uint32_t i : queries_[parts_[p].query].parts) parts_[i].lost = !parts_[i].in;
@@ -286,9 +276,8 @@
             if (queries_[i].id == id && !queries_[i].ended) end(queries_[i]);
     }
 
-    // A failure of any kind pauses the node, longer each time in a row; each good
-    // answer takes one step back. What counts is what came of our own calls:
-    // guards against silent, slow and fast-failing nodes alike.
+    // A failure of any kind pauses the node, longer each time in a row; each good answer takes one step back.
+    // What counts is what came of our own calls: guards against silent, slow and fast-failing nodes alike.
     void fault(std::uint32_t n) {
         if (paused_until_[n] > now_) return;  // what fails of calls sent before the pause tells nothing new
         paused_until_[n] = now_ + (first_pause << std::min(streak_[n], most_doublings));
@@ -329,8 +318,8 @@
             paused_until_[n] = std::max(paused_until_[n], now_ + first_pause);
             part.held_to = now_ + first_pause;
         }
-        // Ended by us after a long wait with not a word from the node: as good as
-        // timed out, or a hung node would look fresh each time.
+        // Ended by us after a long wait with not a word from the node: as good as timed out, or a hung node
+        // would look fresh each time.
         const bool failed = e.outcome == cancelled
                                 ? heard_at_[n] <= call.sent_at && took > copy_after * usual()
                                 : e.outcome != ok && e.outcome != full && e.outcome != moot;
@@ -347,9 +336,8 @@
         if (q.ended) forget(part.query);
     }
 
-    // What was seen long ago fades: a node's figure to that of its zone and kind,
-    // theirs to the fleet's, the fleet's to calls at rest. Guards a router that
-    // sees little against going by what is over.
+    // What was seen long ago fades: a node's figure to that of its zone and kind, theirs to the fleet's, the
+    // fleet's to calls at rest. Guards a router that sees little against going by what is over.
     double faded(Recent seen, double to) const {
         if (seen.at == 0) return to;
         return to + (seen.value - to) * std::exp(-static_cast<double>(now_ - seen.at) / fade);
@@ -361,8 +349,7 @@
         return faded({took_[n], sampled_at_[n]}, faded(groups_[group_[n]], usual()));
     }
 
-    // The less is known of a node, the more a sample counts: one heard of once in
-    // ten seconds must tell.
+    // The less is known of a node, the more a sample counts: one heard of once in ten seconds must tell.
     double news(Nanos last) const {
         return std::max(0.2, 0.8 * (1 - std::exp(-static_cast<double>(now_ - last) / news_after)));
     }
@@ -380,26 +367,22 @@
         sampled_at_[n] = now_;
     }
 
-    // How long a leaf call sent now would take: by what calls took there lately,
-    // for each one of ours on the node, and at least as long as a node that holds
-    // calls of ours has been silent.
+    // How long a leaf call sent now would take: by what calls took there lately, for each one of ours on the
+    // node, and at least as long as a node that holds calls of ours has been silent.
     double expected(std::uint32_t n) const {
         const double by_line = std::max(service_, took(n) + (open_[n] - ahead_[n]) * service_);
         return open_[n] == 0 ? by_line : std::max(by_line, static_cast<double>(now_ - heard_at_[n]));
     }
 
-    // The same where a failed call goes again: guards thin traffic against nodes
-    // that fail some calls fast.
+    // The same where a failed call goes again: guards thin traffic against nodes that fail some calls fast.
     double until_served(std::uint32_t n) const { return expected(n) / (1 - failure_share(n)); }
 
-    // A node that holds calls of ours and has said nothing for several times what
-    // calls take.
+    // A node that holds calls of ours and has said nothing for several times what calls take.
     bool silent(std::uint32_t n, double times) const {
         return open_[n] > 0 && now_ - heard_at_[n] > times * std::max(took(n), usual());
     }
 
-    // Paused, or back from a pause with its first call still out: one call tries
-    // the node, others wait.
+    // Paused, or back from a pause with its first call still out: one call tries the node, others wait.
     bool suspect(std::uint32_t n) const {
         return paused_until_[n] > now_ || (streak_[n] > 0 && open_[n] > 0 && heard_at_[n] < paused_until_[n]);
     }
@@ -409,8 +392,7 @@
         return expected(n) + static_cast<double>(std::max<Nanos>(0, paused_until_[n] - now_));
     }
 
-    // The holder that a part of this shard would be back from first, if any, and
-    // when.
+    // The holder that a part of this shard would be back from first, if any, and when.
     std::pair<std::uint32_t, double> best_holder(std::uint32_t shard) const {
         std::pair<std::uint32_t, double> best{none, HUGE_VAL};
         for (int j = 0; j < width_; ++j)
@@ -419,20 +401,17 @@
         return best;
     }
 
-    // The share of its capacity that a node that started a while ago has at
-    // least.
+    // The share of its capacity that a node that started a while ago has at least.
     double warmth(std::uint32_t n) const {
         if (started_at_[n] == 0 || cold_ <= 0 || now_ - started_at_[n] >= cold_) return 1;
         const double age = std::max(0.0, (now_ - started_at_[n]) / static_cast<double>(cold_));
         return cold_from_ + (1 - cold_from_) * age;
     }
 
-    // Rule 4: a cold node gets few calls at a time, and in a window our share of
-    // what may push it over at most. A share of under one call is drawn once a
-    // window, so that the sum over all routers keeps to the rule: against how
-    // many of them are likely to want one, told from our own traffic and the
-    // holders left; all of them where it is the only one, since what waits for it
-    // adds up.
+    // Rule 4: a cold node gets few calls at a time, and in a window our share of what may push it over at
+    // most. A share of under one call is drawn once a window, so that the sum over all routers keeps to the
+    // rule: against how many of them are likely to want one, told from our own traffic and the holders left;
+    // all of them where it is the only one, since what waits for it adds up.
     bool cold_room(std::uint32_t n, std::ptrdiff_t turns) {
         const double warm = warmth(n);
         if (warm >= 1) return true;
@@ -455,9 +434,8 @@
         return offered_.value * std::exp((offered_.at - now_) / static_cast<double>(fall_));
     }
 
-    // Replicas take turns. Passed over is one that is paused, unless all are,
-    // that is expected to take much longer than the best, that is cold and has
-    // had enough, or that has been asked for this part already.
+    // Replicas take turns. Passed over is one that is paused, unless all are, that is expected to take much
+    // longer than the best, that is cold and has had enough, or that has been asked for this part already.
     std::uint32_t choose(const Part& part) {
         std::vector<std::uint32_t> holders;
         for (int j = 0; j < width_; ++j)
@@ -480,9 +458,8 @@
                            : holders.size() > 1 ? std::count_if(holders.begin(), holders.end(), near)
                                                 : 0;
         if (std::erase_if(holders, [&](std::uint32_t n) { return !cold_room(n, turns); }) > 0) look();
-        // Where a call costs the node work of its own, a holder that this round's
-        // call already goes to is taken before the next in turn, unless it is
-        // slower by more than that cost.
+        // Where a call costs the node work of its own, a holder that this round's call already goes to is
+        // taken before the next in turn, unless it is slower by more than that cost.
         std::size_t first = holders.size();
         for (std::size_t j = 0; j < holders.size(); ++j) {
             const std::uint32_t n = holders[(turn_[part.shard] + j) % holders.size()];
@@ -533,8 +510,7 @@
         return true;
     }
 
-    // Where over a quarter of the nodes are silent, the fleet is slow; else one
-    // silent for long is paused.
+    // Where over a quarter of the nodes are silent, the fleet is slow; else one silent for long is paused.
     void listen_for_silence() {
         listened_at_ = now_;
         const auto is_silent = [this](auto n) { return silent(n, copy_after); };
@@ -549,12 +525,11 @@
         recent_bad_[n] += bad;
     }
 
-    // Looks each second, once enough parts have ended to show such a share; what
-    // was found holds until then.
+    // Looks each second, once enough parts have ended to show such a share; what was found holds until then.
     void keep_pressure() {
         if (now_ - looked_at_ >= cut_every && ended_ * pressure_share >= 1) {
-            // Bad outcomes that pile up at an eighth of the nodes asked are their
-            // trouble; one each is no pile.
+            // Bad outcomes that pile up at an eighth of the nodes asked are their trouble; one each is no
+            // pile.
             std::sort(recent_.begin(), recent_.end(),
                       [this](auto a, auto b) { return recent_bad_[a] < recent_bad_[b]; });
             const int ended = std::exchange(ended_, 0);
@@ -581,8 +556,7 @@
         for (Vertical& v : verticals_) v.p = std::max(1.0, v.p - p_cut * v.k);
     }
 
-    // Picks the parts to ask, or turns the query away when what it needs can't be
-    // in in time.
+    // Picks the parts to ask, or turns the query away when what it needs can't be in in time.
     void plan(Query& q) {
         Vertical& v = verticals_[q.vertical];
         q.fresh = false;
@@ -602,8 +576,7 @@
         for (int j = 0; j < p; ++j) parts_[q.parts[j]].planned = true;
         if (q.step == 2) return;
 
-        // One that is late or over its tenant's share is worth less and must fit in
-        // less of the time.
+        // One that is late or over its tenant's share is worth less and must fit in less of the time.
         const bool late = now_ >= q.slo_at;
         const Nanos left = !late                      ? q.slo_at - now_
                            : v.terms.late_utility > 0 ? std::min(q.end_by - now_, v.terms.slo)
@@ -623,7 +596,6 @@
         }
         if (in_time < (v.partial ? v.terms.floor : v.terms.need) - sum_slack)
             return give_up(q, max_advice_ / 2);
-        // Light parts that are foreseen to be late are left out down to the floor.
         for (int j = p; v.partial && q.step == 1 && j-- > 0;) {
             Part& part = parts_[q.parts[j]];
             if (!part.late_likely || sent - part.weight < v.terms.floor) continue;
@@ -663,8 +635,7 @@
             return give_up(q, max_advice_ / 2);
         if (in + coming < needed - sum_slack)  // parts were lost: the next heaviest take their place
             for (const std::uint32_t i : q.parts) parts_[i].planned = true;
-        // Last, so that no call goes out for a query, or a step of it, that has
-        // just been ended.
+        // Last, so that no call goes out for a query, or a step of it, that has just been ended.
         if (now_ < q.slo_at || v.terms.late_utility > 0) ask_further(q);
     }
 
@@ -672,17 +643,15 @@
         return std::any_of(q.parts.begin(), q.parts.end(), [this](auto i) { return parts_[i].out > 0; });
     }
 
-    // A query of which nothing has come back while two parts broke their
-    // connections may be what brings nodes down: no further calls until a part
-    // comes back; given up when none is out. One part that came back clears it. A
-    // marked repeat soon after a break goes out part by part until one is back.
+    // A query of which nothing has come back while two parts broke their connections may be what brings nodes
+    // down: no further calls until a part comes back; given up when none is out. One part that came back
+    // clears it. A marked repeat soon after a break goes out part by part until one is back.
     void ask_further(Query& q) {
         if (!q.sound && q.broken >= (q.on_trial ? 1 : 2)) {
             if (!any_out(q)) give_up(q, max_advice_);
             return;
         }
-        // Second copies, for overdue parts: from a replica at rest, while few are
-        // out and nothing presses.
+        // Second copies, for overdue parts: from a replica at rest, while few are out and nothing presses.
         const auto is_in = [this](auto i) { return parts_[i].in; };
         const auto missing = q.parts.size() - std::count_if(q.parts.begin(), q.parts.end(), is_in);
         const bool last_few = !verticals_[q.vertical].partial && missing <= copy_share * q.parts.size();
@@ -714,8 +683,7 @@
         q.earlier = std::exchange(q.parts, {});
     }
 
-    // The final answer at once; a rejection only if nothing may have run of what
-    // must not run again.
+    // The final answer at once; a rejection only if nothing may have run of what must not run again.
     void give_up(Query& q, Nanos advice) {
         bool may_have_run = false;
         if (verticals_[q.vertical].terms.effect != Effect::repeatable)
@@ -742,8 +710,7 @@
                 if (parts_[i].calls[a].out) writer_->cancel(parts_[i].id, static_cast<std::uint8_t>(a));
     }
 
-    // A query that has ended is kept until the last of its leaf calls is heard
-    // of.
+    // A query that has ended is kept until the last of its leaf calls is heard of.
     void forget(std::uint32_t i) {
         Query& q = queries_[i];
         if (q.listed) return;
@@ -755,8 +722,7 @@
         by_ask_.drop(q.ask);
     }
 
-    // For others who send to these nodes: the whole of rule 4, which routers
-    // share among themselves.
+    // For others who send to these nodes: the whole of rule 4, which routers share among themselves.
     std::vector<NodeJudgement> judge(Nanos now) {
         now_ = now;
         std::vector<NodeJudgement> all;
@@ -799,19 +765,14 @@
     std::vector<char> ready_, failing_;  // failing: logged as such
     std::vector<Nanos> started_at_, heard_at_, paused_until_, sampled_at_;
     std::vector<Recent> fails_;         // the share of its calls that failed
-    std::vector<double> took_, ahead_;  // what a call took at sampled_at_, with so
-                                        // many of ours ahead of it
-    std::vector<int> open_, streak_,
-        in_round_;                        // in_round: parts sent this round, in one call
-    std::vector<std::uint32_t> in_call_;  // nodes with a call this round
-    std::vector<int> recent_ended_,
-        recent_bad_;  // since the last look at pressure, at the nodes of ...
-    std::vector<std::uint32_t> recent_,
-        busy_;  // ... this; busy: with calls of ours out
+    std::vector<double> took_, ahead_;  // what a call took at sampled_at_, with so many of ours ahead of it
+    std::vector<int> open_, streak_, in_round_;   // in_round: parts sent this round, in one call
+    std::vector<std::uint32_t> in_call_;          // nodes with a call this round
+    std::vector<int> recent_ended_, recent_bad_;  // since the last look at pressure, at the nodes of ...
+    std::vector<std::uint32_t> recent_, busy_;    // ... this; busy: with calls of ours out
     std::vector<std::deque<Nanos>> cold_sent_;
     std::vector<Nanos> drawn_at_;
-    std::vector<double> drawn_;  // by chance for each window: the less, the sooner
-                                 // a cold node gets a call
+    std::vector<double> drawn_;  // by chance for each window: the less, the sooner a cold node gets a call
     Recent offered_;
     std::vector<std::vector<std::uint32_t>> at_place_;
     std::vector<std::uint32_t> turn_;  // per shard
@@ -821,8 +782,7 @@
     int all_open_ = 0, copies_out_ = 0, listed_ = 0;
     double repeats_due_ = 0;  // tries given up lately that may come again unmarked
 
-    IdIndex by_ask_,
-        part_ids_;  // queries go under the number that ties their parts to them
+    IdIndex by_ask_, part_ids_;  // queries go under the number that ties their parts to them
     std::vector<Query> queries_;
     std::vector<Part> parts_;
     std::vector<std::uint32_t> live_;  // queries in hand, in the order in which they came
