--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -314,7 +314,8 @@
                 for (const auto& [at, s] : out)
                     if (now - at >= call && now - at < call + 5 * ms) {
                         const bool fails = others == paused && now >= began && s.node != 101;
-                        h.on_leaf_end({s.id, s.node, ended[s.id]++, fails ? Outcome::error : Outcome::ok, call});
+                        h.on_leaf_end(
+                            {s.id, s.node, ended[s.id]++, fails ? Outcome::error : Outcome::ok, call});
                     }
                 for (; next <= now; next += static_cast<Nanos>(gap(chance) * 1e9), id += 2)
                     arrive(h, id, 1, now + 5000 * ms, {1.0}, 12, static_cast<std::uint32_t>(chance() % 12));
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -374,6 +374,24 @@
     CHECK_THROWS(w.client());
 }
 
+TEST_CASE("a second SIGTERM changes nothing: what is in hand is still answered") {
+    World w;
+    std::vector<Call> held;
+    for (auto& node : w.nodes) node->on_call = [&](const Call& call) { held.push_back(call); };
+    const auto idle = w.client(), busy = w.client();
+    busy->send(query("A"));
+    w.until([&] { return held.size() == 2; });
+    std::raise(SIGTERM);
+    w.until([&] { return idle->ended; });
+    std::raise(SIGTERM);
+    const auto fresh = w.client();  // whose answer shows that the second has been heard too
+    fresh->send("GET /-/ready HTTP/1.1\r\n\r\n");
+    CHECK(w.answer(*fresh).first == 503);
+    CHECK_FALSE(busy->ended);
+    for (const Call& call : held) DataNode::say(call, "OK", "v" + call.id);
+    CHECK(w.answer(*busy) == std::pair(200, whole_answer));
+}
+
 TEST_CASE("with all descriptors for clients in use, kept idle connections make room") {
     World w(2, 64);  // thirty-two for clients
     std::vector<std::shared_ptr<Peer>> clients;
@@ -829,6 +847,27 @@
     rig.until([&] { return rig.front.open() == 0; });
 }
 
+TEST_CASE("a client that reads its last answer late gets it whole, though its connection is long closed") {
+    FrontRig rig(5);
+    boost::asio::ip::tcp::socket socket(rig.io);
+    socket.connect({boost::asio::ip::address_v4::loopback(), rig.front.port()});
+    const auto c = std::make_shared<Peer>(std::move(socket), Peer::Seen());  // does not read yet
+    c->send("GET /held HTTP/1.1\r\n\r\n");
+    rig.until([&] { return rig.taken.size() == 1; });
+    rig.front.begin_stop();
+    const std::string body(60'000, 'b');
+    rig.front.answer(rig.last, {200, body});
+    rig.until([&] { return rig.time.due.next() == rig.now + 1000 * test::ms; });  // our side has ended
+    rig.now += 1000 * test::ms;
+    rig.time.due.tell(rig.now);
+    rig.until([&] { return rig.front.open() == 0; });
+    c->read();
+    rig.until([&] { return c->ended; });
+    CHECK_FALSE(c->broken);
+    CHECK(c->got.size() > body.size());
+    CHECK(c->got.substr(c->got.size() - body.size()) == body);
+}
+
 TEST_CASE("a client that sends much at once and goes is seen to have gone behind all that it sent") {
     FrontRig rig(5);
     const auto c = rig.client("GET /held HTTP/1.1\r\n\r\n");
