Changes of the list cost what they name: node list, agreed list; places of 32 bits

Cause: NodeList::ready looked through all nodes, gone_ through all that are gone for each that turns, groups through all groups; AgreedList::agreed and ::cut through all nodes whatever changed; NodeEntry::place had 16 bits, so that cell 65,536 of a deployment was cell 0 on sockets. Change: a count of ready nodes, gone ones by a key of their own, groups by map, agreed looks up changed names alone, cut nothing where nothing changes; place has 32 bits. The module's logic is as it was. What is left of `agreed` is the comparison of the two sets of names that are out.

--- a/src/control/decisions.cpp
+++ b/src/control/decisions.cpp
@@ -106,8 +106,8 @@
 void Decider::judge(Nanos now) {
     std::vector<NodeEntry> entries;
     for (const auto& [id, node] : nodes_)
-        entries.push_back({node.number, static_cast<std::uint16_t>(node.listed.place),
-                           node.listed.availability, node.listed.started_at, 0});
+        entries.push_back(
+            {node.number, node.listed.place, node.listed.availability, node.listed.started_at, 0});
     ListNews news(ListKind::full, std::move(entries));
     NoQueries none;
     module_.round(now, news, none);
--- a/src/members/agreed_list.cpp
+++ b/src/members/agreed_list.cpp
@@ -12,19 +12,12 @@
     return node;
 }
 
-template <typename Which>
-TargetList AgreedList::again(Which which) const {
-    TargetList list{generation_, false, {}, 0};
-    for (const auto& [name, node] : nodes_)
-        if (node.availability == Availability::ready && which(name)) list.nodes.push_back(joined(node));
-    return list;
-}
-
 TargetList AgreedList::discovered(const TargetList& news) {
     if (news.whole) nodes_.clear();
     generation_ = news.generation;
     TargetList list = news;
     for (ListedNode& node : list.nodes) {
+        ++looked_;
         if (node.availability == Availability::gone)
             nodes_.erase(node.id);
         else
@@ -35,16 +28,29 @@
 }
 
 TargetList AgreedList::agreed(std::set<std::string> out) {
-    std::set<std::string> changed;
+    std::vector<std::string> changed;
     std::set_symmetric_difference(out_.begin(), out_.end(), out.begin(), out.end(),
-                                  std::inserter(changed, changed.end()));
+                                  std::back_inserter(changed));
     out_ = std::move(out);
-    return again([&](const std::string& name) { return !cut_ && changed.contains(name); });
+    TargetList list{generation_, false, {}, 0};
+    for (const std::string& name : changed) {
+        ++looked_;
+        const auto it = nodes_.find(name);
+        if (!cut_ && it != nodes_.end() && it->second.availability == Availability::ready)
+            list.nodes.push_back(joined(it->second));
+    }
+    return list;
 }
 
 TargetList AgreedList::cut(bool cut) {
-    const bool changes = std::exchange(cut_, cut) != cut;
-    return again([&](const std::string& name) { return changes && !out_.contains(name); });
+    TargetList list{generation_, false, {}, 0};
+    if (std::exchange(cut_, cut) == cut) return list;
+    for (const auto& [name, node] : nodes_) {
+        ++looked_;
+        if (node.availability == Availability::ready && !out_.contains(name))
+            list.nodes.push_back(joined(node));
+    }
+    return list;
 }
 
 }  // namespace tealcart
--- a/src/members/agreed_list.hpp
+++ b/src/members/agreed_list.hpp
@@ -15,22 +15,22 @@
     // News of discovery, as it is to reach the module.
     TargetList discovered(const TargetList& news);
     // These are out by agreement now, and no others: what changes for the module; no entries where nothing
-    // does.
+    // does. Of the nodes it looks at those alone whose agreement changes.
     TargetList agreed(std::set<std::string> out);
-    // With `cut` nothing new may be sent to any node, until it is over.
+    // With `cut` nothing new may be sent to any node, until it is over. Looks at all nodes where it changes.
     TargetList cut(bool cut);
 
     bool is_out(const std::string& node) const { return cut_ || out_.contains(node); }
     const std::set<std::string>& out() const { return out_; }
+    std::uint64_t looked() const { return looked_; }  // entries and nodes looked at since the start
 
   private:
     ListedNode joined(ListedNode node) const;
-    template <typename Which>
-    TargetList again(Which which) const;
 
     std::map<std::string, ListedNode> nodes_;  // as discovery told of them; those that are gone are dropped
     std::set<std::string> out_;
     std::uint64_t generation_ = 0;  // discovery's
+    std::uint64_t looked_ = 0;
     bool cut_ = false;
 };
 
--- a/src/router/query_router.hpp
+++ b/src/router/query_router.hpp
@@ -72,7 +72,7 @@
 
 struct NodeEntry {
     std::uint32_t node = 0;
-    std::uint16_t place = 0;
+    std::uint32_t place = 0;
     Availability availability = Availability::gone;
     Nanos started_at = 0;     // 0: long ago
     std::uint32_t group = 0;  // nodes of one zone and machine kind share a group
--- a/src/tables/node_list.cpp
+++ b/src/tables/node_list.cpp
@@ -1,14 +1,32 @@
 #include "tables/node_list.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tealcart {
 
+std::uint32_t NodeList::group_of(const ListedNode& entry, bool goes) {
+    key_.assign(entry.zone).append(1, '\n').append(entry.kind);
+    const auto next = static_cast<std::uint32_t>(groups_.size());
+    if (!goes) return groups_.try_emplace(key_, next).first->second;
+    const auto known = groups_.find(key_);
+    return known == groups_.end() ? next : known->second;
+}
+
+void NodeList::turn(Node& node, Availability to) {
+    ready_ -= node.availability == Availability::ready;
+    ready_ += to == Availability::ready;
+    node.availability = to;
+}
+
 NodeList::News NodeList::take(const TargetList& list) {
     News news;
     ++lists_;
+    if (list.whole) index_.reserve(list.nodes.size()), nodes_.reserve(list.nodes.size());
+    news.entries.reserve(list.nodes.size());
     std::vector<std::uint32_t> turned;  // gone, or back
     for (const ListedNode& entry : list.nodes) {
+        ++looked_;
         const bool goes = entry.availability == Availability::gone;
         if (goes && !index_.contains(entry.id)) continue;  // never met, or forgotten
         const auto [it, fresh] = index_.try_emplace(entry.id, next_);
@@ -20,11 +38,7 @@
             news.met.push_back(n);
         }
         node.named = lists_;
-        const std::string group = entry.zone + '\n' + entry.kind;
-        const auto at = std::find(groups_.begin(), groups_.end(), group) - groups_.begin();
-        if (!goes && at == static_cast<std::ptrdiff_t>(groups_.size())) groups_.push_back(group);
-        news.entries.push_back({n, static_cast<std::uint16_t>(entry.place), entry.availability,
-                                entry.started_at, static_cast<std::uint32_t>(at)});
+        news.entries.push_back({n, entry.place, entry.availability, entry.started_at, group_of(entry, goes)});
         if (goes != (node.availability == Availability::gone)) turned.push_back(n);
         const bool leaves =
             entry.availability != Availability::ready && node.availability == Availability::ready;
@@ -33,38 +47,38 @@
             news.leaving.push_back(n);
         else if (moves && !fresh)
             news.changed.push_back(n);
-        node.availability = entry.availability;
+        turn(node, entry.availability);
         if (goes) continue;
         node.address = entry.address;
         node.started_at = entry.started_at;
     }
-    for (auto& [n, node] : nodes_)
-        if (list.whole && node.named != lists_ && node.availability != Availability::gone) {
+    if (list.whole)
+        for (auto& [n, node] : nodes_) {
+            ++looked_;
+            if (node.named == lists_ || node.availability == Availability::gone) continue;
             // What a whole list does not name is gone.
             if (node.availability == Availability::ready) news.leaving.push_back(n);
-            node.availability = Availability::gone;
+            turn(node, Availability::gone);
             turned.push_back(n);
         }
     std::sort(turned.begin(), turned.end());
     for (const std::uint32_t n : turned) {
-        std::erase(gone_, n);
-        if (nodes_[n].availability == Availability::gone) gone_.push_back(n);
+        ++looked_;
+        Node& node = nodes_[n];
+        if (node.went > 0) gone_.erase(std::exchange(node.went, 0));
+        if (node.availability == Availability::gone) gone_.emplace(node.went = ++goes_, n);
     }
     most_ = std::max(most_, nodes_.size() - gone_.size());
-    for (; gone_.size() > most_; gone_.pop_front()) {
-        index_.erase(nodes_[gone_.front()].id);
-        nodes_.erase(gone_.front());
+    for (; gone_.size() > most_; gone_.erase(gone_.begin())) {
+        ++looked_;
+        const auto longest_gone = nodes_.find(gone_.begin()->second);
+        index_.erase(longest_gone->second.id);
+        nodes_.erase(longest_gone);
     }
     std::sort(news.leaving.begin(), news.leaving.end());
     return news;
 }
 
-std::size_t NodeList::ready() const {
-    return static_cast<std::size_t>(std::count_if(nodes_.begin(), nodes_.end(), [](const auto& item) {
-        return item.second.availability == Availability::ready;
-    }));
-}
-
 const NodeList::Node& NodeList::find(std::uint32_t node) const {
     static const Node gone;
     const auto it = nodes_.find(node);
--- a/src/tables/node_list.hpp
+++ b/src/tables/node_list.hpp
@@ -3,7 +3,7 @@
 // forgotten and comes back is met anew, under another number.
 #pragma once
 
-#include <deque>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -22,13 +22,15 @@
         std::vector<std::uint32_t> leaving;  // nodes that now drain or are gone
     };
 
+    // Changes cost what they name, a whole list what there is.
     News take(const TargetList& list);
 
     // Empty for a node that is forgotten.
     const std::string& address(std::uint32_t node) const { return find(node).address; }
     const std::string& name(std::uint32_t node) const { return find(node).id; }
-    std::size_t ready() const;
+    std::size_t ready() const { return ready_; }
     std::size_t size() const { return nodes_.size(); }
+    std::uint64_t looked() const { return looked_; }  // entries and nodes looked at since the start
 
   private:
     struct Node {
@@ -36,17 +38,21 @@
         Availability availability = Availability::gone;
         Nanos started_at = 0;
         std::uint64_t named = 0;  // in this list last
+        std::uint64_t went = 0;   // its key among those that are gone
     };
 
+    std::uint32_t group_of(const ListedNode& entry, bool goes);
+    void turn(Node& node, Availability to);
     const Node& find(std::uint32_t node) const;
 
     std::unordered_map<std::string, std::uint32_t> index_;
     std::unordered_map<std::uint32_t, Node> nodes_;
-    std::vector<std::string> groups_;  // zone and machine kind: as many as the deployment has
-    std::deque<std::uint32_t> gone_;   // in the order in which they went
-    std::size_t most_ = 0;             // nodes at a time
+    std::unordered_map<std::string, std::uint32_t> groups_;  // zone and kind: as many as the deployment has
+    std::map<std::uint64_t, std::uint32_t> gone_;            // in the order in which they went
+    std::string key_;                                        // of the group in hand
+    std::size_t most_ = 0, ready_ = 0;                       // most_: nodes at a time
     std::uint32_t next_ = 0;
-    std::uint64_t lists_ = 0;
+    std::uint64_t lists_ = 0, goes_ = 0, looked_ = 0;
 };
 
 }  // namespace tealcart
