--- a/src/wire/bodies.cpp
+++ b/src/wire/bodies.cpp
@@ -1,9 +1,11 @@
 #include "wire/bodies.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace tealcart {
 namespace {
@@ -42,30 +44,162 @@
     return static_cast<std::uint32_t>(number);
 }
 
-std::optional<ListedNode> read_node(const Json& in, std::uint32_t places) {
-    const auto id = text_of(in, "instanceId"), address = text_of(in, "hostPort"), zone = text_of(in, "zone"),
-               kind = text_of(in, "machineType"), state = text_of(in, "lifecycle");
-    const auto place = index_of(in, "cell", places);
-    const auto started = amount_of(in, "startedAtMs");
-    if (!id || id->empty() || !state) return std::nullopt;
-    ListedNode node{*id,
-                    address.value_or(""),
-                    zone.value_or(""),
-                    kind.value_or(""),
-                    place.value_or(0),
-                    Availability::gone,
-                    0};
-    if (*state == "removed") return node;
-    if (*state == "draining")
-        node.availability = Availability::draining;
-    else if (*state == "up")
-        node.availability = Availability::ready;
-    else
-        return std::nullopt;
-    if (!place || !address || !read_host_port(*address) || !zone || !kind) return std::nullopt;
-    if (started && *started < 9e12) node.started_at = static_cast<Nanos>(*started) * 1'000'000;
-    return node;
-}
+// A list's text as it is parsed, entry by entry, with no tree of it: of a key that comes twice the last value
+// counts, and what is of no use is passed over.
+class ListSax final : public nlohmann::json_sax<Json> {
+  public:
+    explicit ListSax(std::uint32_t places) : places_(places) {}
+
+    // After a text that is JSON.
+    std::optional<TargetList> list() {
+        if (!has_generation_ || !has_whole_ || !named_) return std::nullopt;
+        return TargetList{generation_, whole_, std::move(nodes_), left_out_};
+    }
+
+    bool null() override { return put({}); }
+    bool boolean(bool value) override { return put({Value::truth, value, 0, 0, nullptr}); }
+    bool number_integer(number_integer_t) override { return put({}); }  // below 0: others come unsigned
+    bool number_unsigned(number_unsigned_t value) override {
+        return put({Value::whole, false, value, static_cast<double>(value), nullptr});
+    }
+    bool number_float(number_float_t value, const string_t&) override {
+        return put({Value::fraction, false, 0, value, nullptr});
+    }
+    bool string(string_t& value) override { return put({Value::text, false, 0, 0, &value}); }
+    bool binary(binary_t&) override { return false; }  // not in JSON
+    bool key(string_t& name) override {
+        if (depth_ == 1) key_ = find(list_keys, name);
+        if (in_entry_ && depth_ == 3) key_ = find(entry_keys, name);
+        return true;
+    }
+    bool start_object(std::size_t) override {
+        if (depth_ == 2 && in_list_) {
+            entry_.clear();
+            in_entry_ = true;
+        } else {
+            put({});
+        }
+        ++depth_;
+        return true;
+    }
+    bool end_object() override {
+        if (--depth_ == 2 && std::exchange(in_entry_, false)) {
+            if (auto node = read_node())
+                nodes_.push_back(std::move(*node));
+            else
+                ++left_out_;
+        }
+        return true;
+    }
+    bool start_array(std::size_t) override {
+        if (depth_ == 0) return false;  // no object: no list
+        put({});
+        in_list_ = in_list_ || (depth_ == 1 && key_ == instances);
+        named_ = named_ || (depth_ == 1 && key_ == instances);
+        ++depth_;
+        return true;
+    }
+    bool end_array() override {
+        if (--depth_ == 1) in_list_ = false;
+        return true;
+    }
+    bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
+        return false;
+    }
+
+  private:
+    enum Key { id, address, zone, kind, state, place, started, generation, reset, instances, other };
+    struct Value {
+        enum Type { nothing, truth, whole, fraction, text } type = nothing;
+        bool yes = false;
+        std::uint64_t count = 0;
+        double number = 0;  // finite: the parser takes no other
+        std::string* words = nullptr;
+    };
+    struct Named {
+        std::string_view name;
+        Key key;
+    };
+    static constexpr Named list_keys[] = {
+        {"generation", generation}, {"reset", reset}, {"instances", instances}};
+    static constexpr Named entry_keys[] = {{"instanceId", id},      {"hostPort", address}, {"zone", zone},
+                                           {"machineType", kind},   {"lifecycle", state},  {"cell", place},
+                                           {"startedAtMs", started}};
+    struct Entry {
+        std::array<std::string, state + 1> texts;
+        std::array<bool, started + 1> has{};
+        std::uint64_t cell = 0;
+        double since = 0;
+
+        void clear() { has = {}; }
+    };
+
+    template <std::size_t n>
+    static Key find(const Named (&keys)[n], const std::string& name) {
+        for (const Named& known : keys)
+            if (known.name == name) return known.key;
+        return other;
+    }
+
+    // A value: what came before for its key counts no more.
+    bool put(const Value& value) {
+        if (depth_ == 1) {
+            if (key_ == generation) has_generation_ = value.type == Value::whole, generation_ = value.count;
+            if (key_ == reset) has_whole_ = value.type == Value::truth, whole_ = value.yes;
+            if (key_ == instances) nodes_.clear(), left_out_ = 0, named_ = false;
+        } else if (depth_ == 2 && in_list_) {
+            ++left_out_;
+        } else if (depth_ == 3 && in_entry_ && key_ <= started) {
+            bool& has = entry_.has[key_];
+            if (key_ == place) {
+                has = value.type == Value::whole && value.count < places_;
+                entry_.cell = value.count;
+            } else if (key_ == started) {
+                has = (value.type == Value::whole || value.type == Value::fraction) && value.number >= 0;
+                entry_.since = value.number;
+            } else {
+                has = value.type == Value::text;
+                if (has) std::swap(entry_.texts[key_], *value.words);
+            }
+        }
+        return true;
+    }
+
+    std::optional<ListedNode> read_node() {
+        const Entry& in = entry_;
+        const auto text = [&in](Key of) { return in.has[of] ? in.texts[of] : std::string(); };
+        if (text(id).empty() || !in.has[state]) return std::nullopt;
+        ListedNode node{text(id),
+                        text(address),
+                        text(zone),
+                        text(kind),
+                        in.has[place] ? static_cast<std::uint32_t>(in.cell) : 0,
+                        Availability::gone,
+                        0};
+        if (in.texts[state] == "removed") return node;
+        if (in.texts[state] == "draining")
+            node.availability = Availability::draining;
+        else if (in.texts[state] == "up")
+            node.availability = Availability::ready;
+        else
+            return std::nullopt;
+        if (!in.has[place] || !in.has[address] || !read_host_port(node.address) || !in.has[zone] ||
+            !in.has[kind])
+            return std::nullopt;
+        if (in.has[started] && in.since < 9e12) node.started_at = static_cast<Nanos>(in.since) * 1'000'000;
+        return node;
+    }
+
+    const std::uint32_t places_;
+    std::uint64_t generation_ = 0;
+    bool has_generation_ = false, whole_ = false, has_whole_ = false;
+    std::vector<ListedNode> nodes_;
+    int left_out_ = 0;
+    Entry entry_;
+    std::size_t depth_ = 0;
+    Key key_ = other;
+    bool named_ = false, in_list_ = false, in_entry_ = false;  // named_: the instances, as an array
+};
 
 // A term or a field's name as frames carry it.
 bool is_name(const std::string& text, std::size_t longest) {
@@ -206,21 +340,9 @@
 }
 
 std::optional<TargetList> read_targets(std::string_view body, std::uint32_t places) {
-    const Json in = Json::parse(body, nullptr, false);
-    const Json* generation = member(in, "generation");
-    const Json* whole = member(in, "reset");
-    const Json* instances = member(in, "instances");
-    if (generation == nullptr || !generation->is_number_unsigned() || whole == nullptr ||
-        !whole->is_boolean() || instances == nullptr || !instances->is_array())
-        return std::nullopt;
-    TargetList list{generation->get<std::uint64_t>(), whole->get<bool>(), {}, 0};
-    for (const Json& entry : *instances) {
-        if (auto node = read_node(entry, places))
-            list.nodes.push_back(std::move(*node));
-        else
-            ++list.left_out;
-    }
-    return list;
+    ListSax sax(places);
+    if (!Json::sax_parse(body, &sax)) return std::nullopt;
+    return sax.list();
 }
 
 }  // namespace tealcart
