A list's bound follows from the deployment's size; one over its bound is told as such

Cause: 8 MiB for an answer of discovery or a steward, whatever the deployment: a list of 81,000 nodes has 12.5 MB, so its routers never heard of a node, and the log said "can't be read". Change: 2 x places x width nodes of 1,024 bytes (names of 128 bytes, indented), a quarter of the stated memory_mb at most, 8 MiB at least; for DiscoveryWatch in router, steward and control, for `known` (left out over it, with a log line), and at 256 bytes a name for StewardWatch. Over it one line tells length, bound and rule, and the whole list is asked for next. What it does not reach: cells of more nodes than `width`, of which the settings say nothing, keep the least bound unless places x width is large. Measured: tests of the rule, and of a list over its bound with and without a stated length.

--- a/src/service/launch.cpp
+++ b/src/service/launch.cpp
@@ -1,10 +1,13 @@
 #include "service/launch.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "service/log.hpp"
+
 namespace tealcart {
 namespace {
 
@@ -46,17 +49,28 @@
     if (!sockets.is_number_unsigned() || sockets.get<std::uint64_t>() < 64)
         throw Malformed("'limits.sockets' in the configuration is no number of at least 64");
     launch.sockets = sockets.get<std::size_t>();
+    const Json& limits = in["limits"];
+    if (const auto memory = limits.find("memory_mb"); memory != limits.end() && memory->is_number_unsigned())
+        launch.memory = std::min<std::size_t>(memory->get<std::size_t>(), 1 << 24) * 1'000'000;
     launch.settings = required(in, "settings").dump();
     launch.terms = read_terms(launch.settings);
     launch.link_terms = read_link_terms(launch.settings);
+    launch.list_bound = bound_of_list(launch.terms, launch.memory);
+    launch.agreed_bound = bound_of_agreed(launch.terms, launch.memory);
     launch.phases.resize(launch.link_terms.verticals.size());
     for (const VerticalTerms& v : launch.terms.verticals)
         if (v.second_step > 0)
             throw Malformed("a vertical has a second step, which is not served on sockets yet");
     if (const auto known = in.find("known"); known != in.end() && !known->is_null()) {
-        auto list = read_targets(known->dump(), static_cast<std::uint32_t>(launch.terms.places));
-        if (!list) throw Malformed("'known' in the configuration is no list of data nodes");
-        launch.known = std::move(*list);
+        const std::string stated = known->dump();
+        if (stated.size() > launch.list_bound.bytes) {
+            log_line("'known' in the configuration, %zu bytes, is over its bound of %zu: %s; it is left out",
+                     stated.size(), launch.list_bound.bytes, launch.list_bound.why.c_str());
+        } else {
+            auto list = read_targets(stated, static_cast<std::uint32_t>(launch.terms.places));
+            if (!list) throw Malformed("'known' in the configuration is no list of data nodes");
+            launch.known = std::move(*list);
+        }
     }
     launch.known.whole = true;
     return launch;
--- a/src/service/launch.hpp
+++ b/src/service/launch.hpp
@@ -7,6 +7,7 @@
 #include "terms/operator_terms.hpp"
 #include "terms/terms_text.hpp"
 #include "wire/bodies.hpp"
+#include "wire/list_bound.hpp"
 
 namespace tealcart {
 
@@ -15,9 +16,11 @@
     HostPort listen, discovery;
     std::uint64_t seed = 0;
     std::size_t sockets = 0;  // file descriptors that the process may hold
+    std::size_t memory = 0;   // bytes that it may have; 0 where none are stated
     std::string settings;     // as stated
     Terms terms;
     LinkTerms link_terms;
+    ListBound list_bound, agreed_bound;
     TargetList known;  // the list as this query router last had it
     OperatorTerms operators;
     std::vector<PhaseTerms> phases;  // by vertical
--- a/src/service/membership.cpp
+++ b/src/service/membership.cpp
@@ -31,7 +31,7 @@
     : time_(time), terms_(launch.operators.member), name_(terms_.name.empty() ? launch.name : terms_.name),
       digest_(digest_of(launch)), bridge_(bridge),
       lease_(terms_, time.now(), static_cast<std::uint64_t>(time.now())),
-      watch_(io, time, *this, terms_.stewards) {
+      watch_(io, time, *this, terms_.stewards, launch.agreed_bound) {
     bridge_.watch_outcomes(this);
     look();
 }
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -33,7 +33,7 @@
       member_(launch_.operators.member.on ? std::make_unique<Membership>(io_, time_, launch_, bridge_)
                                           : nullptr),
       watch_(io_, time_, member_ ? static_cast<ListTaker&>(*member_) : bridge_, launch_.discovery,
-             static_cast<std::uint32_t>(launch_.terms.places), launch_.seed + 2),
+             static_cast<std::uint32_t>(launch_.terms.places), launch_.seed + 2, launch_.list_bound),
       timer_(io_) {
     start_log(launch_.operators.log);
     bridge_.connect(front_, links_);
--- a/src/wire/discovery_watch.cpp
+++ b/src/wire/discovery_watch.cpp
@@ -21,17 +21,17 @@
 constexpr Nanos first_backoff = 100 * ms;     // doubled for each failure in a row; half of it is jitter
 constexpr Nanos longest_backoff = 400 * ms;
 constexpr Nanos idle_pause = 100 * ms;  // after an early answer with no news; 200 ms would end the watch
-constexpr std::size_t longest_list = 8 * 1024 * 1024;
 enum Due : std::uint64_t { silent, again, next };
 
 }  // namespace
 
-DiscoveryWatch::Connection::Connection(boost::asio::io_context& io) : socket(io), reader(longest_list) {}
+DiscoveryWatch::Connection::Connection(boost::asio::io_context& io, std::size_t longest)
+    : socket(io), reader(longest) {}
 
 DiscoveryWatch::DiscoveryWatch(boost::asio::io_context& io, Timekeeper& time, ListTaker& taker,
-                               HostPort address, std::uint32_t places, std::uint64_t seed)
-    : io_(io), time_(time), taker_(taker), address_(std::move(address)), places_(places), chance_(seed),
-      backoff_(first_backoff) {}
+                               HostPort address, std::uint32_t places, std::uint64_t seed, ListBound bound)
+    : io_(io), time_(time), taker_(taker), address_(std::move(address)), places_(places),
+      bound_(std::move(bound)), chance_(seed), backoff_(first_backoff) {}
 
 void DiscoveryWatch::start(std::uint64_t generation) {
     generation_ = generation;
@@ -64,7 +64,7 @@
 }
 
 void DiscoveryWatch::connect() {
-    connection_ = std::make_shared<Connection>(io_);
+    connection_ = std::make_shared<Connection>(io_, bound_.bytes);
     error_code ec;
     const auto host = boost::asio::ip::make_address(address_.host, ec);
     if (ec) return give_up("its address is no number");
@@ -122,6 +122,11 @@
         if (list) taker_.on_list(*list);
         return end(former_);
     }
+    if (reading == Reading::bad && reader.too_long()) {
+        whole_ = true;
+        tell_long(reader);
+        return give_up("its list is too long");
+    }
     if (reading == Reading::bad) return give_up("its answer can't be read");
     if (reader.status() != 200) return give_up("its answer is not 200");
     if (!list) {
@@ -133,7 +138,7 @@
                  static_cast<unsigned long long>(list->generation));
     if (silent_before_)
         log_line("discovery answers again, list %llu", static_cast<unsigned long long>(list->generation));
-    silent_before_ = false;
+    silent_before_ = told_long_ = false;
     whole_ = false;
     told_ = sound_ = true;
     backoff_ = first_backoff;
@@ -150,6 +155,14 @@
     ask();
 }
 
+void DiscoveryWatch::tell_long(const AnswerReader& reader) {
+    if (std::exchange(told_long_, true)) return;
+    const bool stated = reader.stated_length() > 0;
+    log_line("discovery: a list of %s%llu bytes is over its bound of %zu: %s", stated ? "" : "over ",
+             static_cast<unsigned long long>(stated ? reader.stated_length() : bound_.bytes), bound_.bytes,
+             bound_.why.c_str());
+}
+
 void DiscoveryWatch::give_up(const char* why) {
     if (!silent_before_) log_line("discovery: %s; the list stands", why);
     silent_before_ = true;
--- a/src/wire/discovery_watch.hpp
+++ b/src/wire/discovery_watch.hpp
@@ -14,6 +14,7 @@
 #include "tables/timekeeper.hpp"
 #include "wire/bodies.hpp"
 #include "wire/http.hpp"
+#include "wire/list_bound.hpp"
 
 namespace tealcart {
 
@@ -26,7 +27,7 @@
 class DiscoveryWatch final : public DueHandler {
   public:
     DiscoveryWatch(boost::asio::io_context& io, Timekeeper& time, ListTaker& taker, HostPort address,
-                   std::uint32_t places, std::uint64_t seed);
+                   std::uint32_t places, std::uint64_t seed, ListBound bound = {});
 
     // Watches for what is newer than `generation`.
     void start(std::uint64_t generation);
@@ -46,6 +47,7 @@
     void take_answer(const Life& c, bool ended);
     void lose(const Life& c, const char* why);
     static void end(Life& connection);
+    void tell_long(const AnswerReader& reader);
     void give_up(const char* why);
 
     boost::asio::io_context& io_;
@@ -53,6 +55,7 @@
     ListTaker& taker_;
     HostPort address_;
     const std::uint32_t places_;
+    const ListBound bound_;
     std::uint64_t generation_ = 0;
     std::knuth_b chance_;
     Nanos asked_at_ = 0, waits_ = 0;     // the call that is out, and for how long it may wait for news
@@ -60,9 +63,10 @@
     bool told_ = false, sound_ = false;  // sound: the last call was answered
     bool whole_ = false;                 // the next call asks for the whole list
     bool silent_before_ = false;         // told in the log
+    bool told_long_ = false;             // and that a list is over its bound
     // Each connection has a life of its own: what completes for an earlier one is void.
     struct Connection {
-        explicit Connection(boost::asio::io_context& io);
+        Connection(boost::asio::io_context& io, std::size_t longest);
         boost::asio::ip::tcp::socket socket;
         std::string out, in;
         std::array<char, 8192> buffer;
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/status.hpp>
+#include <charconv>
 #include <cstdio>
 #include <optional>
 
@@ -49,6 +50,7 @@
 
     std::string body;
     int status = 0;
+    std::uint64_t stated_length = 0;
     error_code error;
 
   protected:
@@ -62,6 +64,8 @@
         if (name == http::field::content_length &&
             (std::exchange(measured_, true) || value.find_first_not_of("0123456789") != value.npos))
             ec = http::error::bad_content_length;
+        if (name == http::field::content_length)
+            std::from_chars(value.data(), value.data() + value.size(), stated_length);
     }
     void on_header_impl(error_code&) override {}
     void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
@@ -156,6 +160,8 @@
 Reading AnswerReader::end() { return parser_->end(); }
 int AnswerReader::status() const { return parser_->status; }
 bool AnswerReader::keep_alive() const { return parser_->keep_alive(); }
+bool AnswerReader::too_long() const { return parser_->error == http::error::body_limit; }
+std::uint64_t AnswerReader::stated_length() const { return parser_->stated_length; }
 const std::string& AnswerReader::body() const { return parser_->body; }
 void AnswerReader::next() { parser_ = std::make_unique<Parser>(longest_); }
 
--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -52,6 +52,9 @@
     Reading end();
     int status() const;
     bool keep_alive() const;
+    // With `bad`: the body is longer than `longest`; its length as stated, 0 where none was.
+    bool too_long() const;
+    std::uint64_t stated_length() const;
     const std::string& body() const;
     void next();
 
--- /dev/null
+++ b/src/wire/list_bound.hpp
@@ -0,0 +1,23 @@
+// How long the answers of discovery and of the stewards may be: by the size of the deployment, as its
+// settings state it. Nothing is kept free for them.
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include "router/query_router.hpp"
+
+namespace tealcart {
+
+struct ListBound {
+    static constexpr std::size_t least = 8 * 1024 * 1024;  // whatever the settings state
+    std::size_t bytes = least;
+    std::string why = "the least bound";  // where it comes from, for the log
+};
+
+// Of a list. `memory` is what the process may have, in bytes; 0 for no bound of its own.
+ListBound bound_of_list(const Terms& terms, std::size_t memory);
+// Of a steward's answer, which names every node that is out, and every router.
+ListBound bound_of_agreed(const Terms& terms, std::size_t memory);
+
+}  // namespace tealcart
--- a/src/wire/steward_watch.cpp
+++ b/src/wire/steward_watch.cpp
@@ -16,16 +16,16 @@
 constexpr Nanos connect_within = 500 * ms;
 constexpr Nanos again_after = 50 * ms;   // the first time; twice as long after each further failure ...
 constexpr Nanos again_most = 1600 * ms;  // ... up to this
-constexpr std::size_t longest_answer = 8 * 1024 * 1024;
 enum Due : std::uint64_t { silent, again };
 
 }  // namespace
 
-StewardWatch::Connection::Connection(boost::asio::io_context& io) : socket(io), reader(longest_answer) {}
+StewardWatch::Connection::Connection(boost::asio::io_context& io, std::size_t longest)
+    : socket(io), reader(longest) {}
 
 StewardWatch::StewardWatch(boost::asio::io_context& io, Timekeeper& time, StewardTaker& taker,
-                           std::vector<HostPort> stewards)
-    : io_(io), time_(time), taker_(taker), stewards_(std::move(stewards)) {}
+                           std::vector<HostPort> stewards, ListBound bound)
+    : io_(io), time_(time), taker_(taker), stewards_(std::move(stewards)), bound_(std::move(bound)) {}
 
 void StewardWatch::end() {
     error_code ec;
@@ -41,7 +41,7 @@
 void StewardWatch::connect() {
     owes_next_ = false;
     end();
-    connection_ = std::make_shared<Connection>(io_);
+    connection_ = std::make_shared<Connection>(io_, bound_.bytes);
     error_code ec;
     const auto host = boost::asio::ip::make_address(stewards_[at_].host, ec);
     if (ec) return give_up("its address is no number");
@@ -87,6 +87,13 @@
     AnswerReader& reader = c->reader;
     const Reading reading = reader.feed(c->in);
     if (reading == Reading::more) return read(c);
+    if (reading == Reading::bad && reader.too_long()) {
+        if (!std::exchange(told_long_, true))
+            log_line("a steward's answer of %llu bytes is over its bound of %zu: %s",
+                     static_cast<unsigned long long>(reader.stated_length()), bound_.bytes,
+                     bound_.why.c_str());
+        return give_up("its answer is too long");
+    }
     if (reading == Reading::bad) return give_up("its answer can't be read");
     if (reader.status() == 421) {
         // Only to one that the operators' file names.
@@ -108,7 +115,7 @@
     if (told_silent_)
         log_line("the stewards answer again, generation %llu",
                  static_cast<unsigned long long>(answer->generation));
-    told_silent_ = false;
+    told_silent_ = told_long_ = false;
     failed_ = 0;
     time_.due.drop(due_);
     const bool kept = reader.keep_alive();
--- a/src/wire/steward_watch.hpp
+++ b/src/wire/steward_watch.hpp
@@ -13,6 +13,7 @@
 #include "tables/timekeeper.hpp"
 #include "terms/host_port.hpp"
 #include "wire/http.hpp"
+#include "wire/list_bound.hpp"
 #include "wire/member_words.hpp"
 
 namespace tealcart {
@@ -31,7 +32,7 @@
 class StewardWatch final : public DueHandler {
   public:
     StewardWatch(boost::asio::io_context& io, Timekeeper& time, StewardTaker& taker,
-                 std::vector<HostPort> stewards);
+                 std::vector<HostPort> stewards, ListBound bound = {});
 
     void start() { connect(); }
     void stop();
@@ -43,7 +44,7 @@
 
   private:
     struct Connection {
-        explicit Connection(boost::asio::io_context& io);
+        Connection(boost::asio::io_context& io, std::size_t longest);
         boost::asio::ip::tcp::socket socket;
         std::string out, in;
         std::array<char, 4096> buffer;
@@ -63,10 +64,11 @@
     Timekeeper& time_;
     StewardTaker& taker_;
     const std::vector<HostPort> stewards_;
+    const ListBound bound_;
     std::size_t at_ = 0;  // of the stewards
     int failed_ = 0;      // calls in a row
     Nanos sent_at_ = 0, wait_ = 0;
-    bool owes_next_ = false, told_silent_ = false;
+    bool owes_next_ = false, told_silent_ = false, told_long_ = false;
     Life connection_;
     Deadlines::Ticket due_ = Deadlines::none;
 };
--- a/src/xds/main.cpp
+++ b/src/xds/main.cpp
@@ -49,7 +49,7 @@
     Timekeeper time;
     Lists lists(server);
     DiscoveryWatch watch(io, time, lists, read.discovery, static_cast<std::uint32_t>(read.terms.places),
-                         read.seed);
+                         read.seed, read.list_bound);
     const int port = server.start(control.listen);
     watch.start(known.generation);
     log_line("%s hands out decisions at port %d, discovery at %s:%u", read.name.c_str(), port,
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -43,6 +43,7 @@
     std::size_t calls() const { return heads.size(); }
 
     std::uint64_t seed_;
+    ListBound bound{4096, "the test's"};
     boost::asio::io_context io{1};
     Nanos now = 1'000'000 * ms;
     Timekeeper time{now};
@@ -56,7 +57,7 @@
                       peer.got.erase(0, end + 4);
                       if (on_call) on_call(peer, heads.size() - 1);
                   }};
-    DiscoveryWatch watch{io, time, *this, *read_host_port(agent.address()), 4, seed_};
+    DiscoveryWatch watch{io, time, *this, *read_host_port(agent.address()), 4, seed_, bound};
 };
 
 }  // namespace
@@ -139,3 +140,42 @@
     CHECK(rig.generation == (cut ? 0 : 5));
     CHECK(rig.heads[1].first.find(cut ? "index=4&" : "index=5&") != std::string::npos);
 }
+
+TEST_CASE(
+    "a list over its bound is no list: the last one stands, the whole one is asked for, a later one is "
+    "heard") {
+    const bool stated = GENERATE(true, false);
+    WatchRig rig;
+    bool grown = true;
+    rig.on_call = [&](Peer& peer, std::size_t) {
+        if (rig.generation == 5) return;
+        std::string list = list_five;
+        list.insert(list.size() - 1, grown ? 4096 : 0, ' ');  // as long as its bound would do, and more
+        if (stated) return peer.send(reply(list));
+        peer.send("HTTP/1.1 200 OK\r\n\r\n" + list);
+        peer.socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    };
+    rig.start();
+    rig.pass_until([&] { return rig.calls() == 3; }, 5000 * ms);
+    CHECK(rig.generation == 0);
+    REQUIRE(rig.calls() == 3);
+    CHECK(rig.heads[2].first.find("index=") == std::string::npos);
+    grown = false;
+    rig.pass_until([&] { return rig.generation == 5; }, 5000 * ms);
+    CHECK(rig.generation == 5);
+}
+
+TEST_CASE("a list's bound follows from the deployment's size, between its least and what memory allows") {
+    Terms terms;
+    terms.places = 27'000, terms.width = 3, terms.routers = 3600;
+    CHECK(bound_of_list(terms, 0).bytes == 2UL * 81'000 * 1024);
+    CHECK(bound_of_list(terms, 192'000'000).bytes == 48'000'000);
+    CHECK(bound_of_agreed(terms, 192'000'000).bytes == (2UL * 81'000 + 3600) * 256);
+    CHECK(bound_of_list(terms, 8'000'000).bytes == 8 * 1024 * 1024);
+    CHECK(bound_of_list(terms, 8'000'000).why == "the least bound");
+    terms.places = 10;
+    CHECK(bound_of_list(terms, 192'000'000).bytes == 8 * 1024 * 1024);
+    CHECK(bound_of_agreed(terms, 0).bytes == 8 * 1024 * 1024);
+    terms.places = terms.width = 1'000'000;
+    CHECK(bound_of_list(terms, 192'000'000).bytes == 48'000'000);
+}
