--- a/src/steward/steward.cpp
+++ b/src/steward/steward.cpp
@@ -24,7 +24,7 @@
       tick_every_(std::min(250 * ms, terms.budgets.lease / 20)), state_(terms.budgets), view_(launch.terms),
       front_(io, time_, *this, most_clients, stall),
       watch_(io, time_, *this, launch.discovery, launch.terms.discovery,
-             static_cast<std::uint32_t>(launch.terms.places), launch.seed),
+             static_cast<std::uint32_t>(launch.terms.places), launch.seed, launch.list_bound),
       raft_(io,
             {id, terms.stewards.at(id).raft, terms.stewards.at(id).bind, terms.stewards.at(id).folder,
              terms.election},
