--- a/measure/list_cost.cpp
+++ b/measure/list_cost.cpp
@@ -85,6 +85,32 @@
     return best;
 }
 
+// A list played to the module, and nothing else.
+struct ListNews final : Arrivals, DecisionWriter {
+    ListKind kind = ListKind::full;
+    std::vector<NodeEntry> entries;
+
+    void play(ArrivalHandler& handler) override { handler.on_nodes(kind, entries); }
+    void deliver(std::uint32_t, std::uint32_t, Nanos) override {}
+    void cancel(std::uint32_t, std::uint8_t) override {}
+    void answer(std::uint32_t, bool) override {}
+    void reject(std::uint32_t, Nanos) override {}
+    void abort(std::uint32_t) override {}
+    void wake(std::uint64_t, Nanos) override {}
+    void listen() override {}
+    void log(const std::string&) override {}
+};
+
+Terms terms_of(int nodes) {
+    Terms t;
+    t.verticals.push_back({});
+    t.verticals[0].slo = t.verticals[0].deadline = 1'000'000'000;
+    t.step = 5'000'000;
+    t.places = t.shards = nodes;
+    t.width = 3;
+    return t;
+}
+
 bool measure(int nodes) {
     const std::string body = list_of(nodes);
     const auto places = static_cast<std::uint32_t>(nodes);
@@ -126,6 +152,17 @@
     known.take(zone);
     const double zone_back = ms_of(Clock::now() - zone_came);
 
+    ListNews news;
+    news.entries = NodeList().take(*list).entries;
+    QueryRouter router(terms_of(nodes), 1);
+    Nanos now = 1'000'000'000;
+    const auto tell = [&](int) { router.round(now += 5'000'000, news, news); };
+    const double module = least(
+        times, [](int) { return 0; }, tell);
+    news.kind = ListKind::delta;
+    news.entries.resize(1);
+    const double module_one = mean(changes, tell);
+
     AgreedList agreed;
     const double joined = least(
         times, [](int) { return 0; }, [&](int) { agreed.discovered(*list); });
@@ -159,6 +196,7 @@
                 delta, ready);
     std::printf("  NodeList a zone of %zu gone %.2f ms, back %.2f ms\n", zone.nodes.size(), zone_gone,
                 zone_back);
+    std::printf("  the module's round with a whole list %.2f ms, with one change %.5f\n", module, module_one);
     std::printf("  AgreedList whole %.2f ms, one change %.5f; one name of %zu out %.5f, none %.5f\n", joined,
                 joined_one, out.size(), agreed_one, agreed_same);
     std::printf("  AgreedList cut %.2f ms, cut that is so already %.5f\n", cuts, same);
