--- /dev/null
+++ b/src/changes/document.hpp
@@ -0,0 +1,78 @@
+// The document that a fleet's configuration is: entries by key, and the deltas and pages it travels in. A
+// follower's copy (a relay's, a router's) takes each version over as a whole or not at all, and never goes
+// backward. No I/O.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+namespace tealcart::changes {
+
+using Nanos = std::int64_t;
+using Document = std::map<std::string, std::string>;
+
+// Independent of the order of entries, so that a delta's costs what it changes. Not against forgery.
+std::uint64_t digest_of(const std::string& key, const std::string& value);
+std::uint64_t digest_of(const Document& document);  // wrapping sum over its entries
+
+struct Delta {
+    std::uint64_t from = 0, to = 0;  // versions
+    std::map<std::string, std::string> set;
+    std::set<std::string> removed;
+    std::uint64_t digest = 0;  // of the document at `to`
+
+    bool empty() const { return from == to; }
+    friend bool operator==(const Delta&, const Delta&) = default;
+};
+
+// A part of the document at one version, in the order of keys.
+struct Page {
+    std::uint64_t version = 0, digest = 0;  // of the whole document
+    std::string after;                      // entries behind this key; empty: from the first
+    std::map<std::string, std::string> entries;
+    bool last = false;
+
+    friend bool operator==(const Page&, const Page&) = default;
+};
+
+class Copy {
+  public:
+    // `most_bytes`: of keys and values that are still coming in pages; more is taken as spoilt.
+    explicit Copy(std::size_t most_bytes = 64u << 20) : most_bytes_(most_bytes) {}
+
+    enum class Taken : std::uint8_t {
+        taken,  // the copy is at the delta's or the last page's version now
+        more,   // a page was taken, further ones are wanted: ask behind `wants_after`
+        known,  // nothing new
+        gap,    // it begins behind what this copy has: ask for pages
+        spoilt  // its digest is not what comes out: nothing was changed; ask for pages
+    };
+
+    // One that begins earlier than what this copy has is taken too, where it leads further.
+    Taken take(const Delta& delta);
+    // Pages of one version in their order; one of another version begins anew. A page that is not the next
+    // one changes nothing: `more`.
+    Taken take(const Page& page);
+
+    std::uint64_t version() const { return version_; }
+    std::uint64_t digest() const { return digest_; }
+    const Document& document() const { return document_; }
+    bool wants_pages() const { return wants_pages_; }
+    const std::string& wants_after() const { return after_; }
+
+  private:
+    Taken begin_anew(Taken why);
+
+    std::size_t most_bytes_, coming_bytes_ = 0;
+    std::uint64_t version_ = 0, digest_ = 0;
+    Document document_;
+    bool wants_pages_ = false;
+    std::string after_;  // the key of the last page's last entry
+    std::uint64_t coming_version_ = 0, coming_digest_ = 0;
+    Document coming_;
+};
+
+}  // namespace tealcart::changes
--- /dev/null
+++ b/src/changes/words.hpp
@@ -0,0 +1,41 @@
+// What is said of members upward: by a member itself, and by a relay of all its members at once.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "changes/document.hpp"
+
+namespace tealcart::changes {
+
+// What a relay says of one member: at its first word, and later where it is an exception.
+struct MemberWord {
+    std::string name;
+    std::uint64_t life = 0;     // a new, greater number at each start
+    Nanos serve_on = 0;         // after its lease it may act by what it last knew for so long
+    std::uint64_t acts_on = 0;  // the version it acts by; 0: what it was started with
+    std::uint64_t refused = 0;  // the version that it can't take over, 0 for none
+    std::string why;            // of the refusal
+
+    friend bool operator==(const MemberWord&, const MemberWord&) = default;
+};
+
+// What a relay says of all its members at once. Numbered by the relay: one that is no later than the last
+// taken of that life renews nothing and says nothing. A life's first word is `whole`, and so is the first
+// after the relay's lease was over: another is stale, and the relay is to say all.
+struct RelayWord {
+    std::string relay, zone;
+    std::uint64_t life = 0, number = 0;
+    bool whole = false;  // `joined` are all its members
+    std::vector<MemberWord>
+        joined;  // since the last word that the stewards took; refusals stand in exceptions
+    std::vector<std::pair<std::string, std::uint64_t>> left, lost;  // name and life: by farewell; lease over
+    std::uint64_t lowest = 0;            // all its members that are no exception act on this version at least
+    std::vector<MemberWord> exceptions;  // all of them at present, by name
+
+    friend bool operator==(const RelayWord&, const RelayWord&) = default;
+};
+
+}  // namespace tealcart::changes
--- /dev/null
+++ b/tests/changes_model_test.cpp
@@ -0,0 +1,1 @@
+// placeholder
