Changes: generated commands against a plain model, two replicas, bytes, save and load in the middle

Cause: the counts by which a word costs only what it states can go wrong unseen. Change: tests/changes_model_test.cpp: a model in lists that looks at everything anew, 60 seeds of 600 commands; effects, version, reach, document and the kept deltas are compared; one replica is fed by bytes and loaded anew every seven commands; ids come twice. No change to the interface.

--- a/tests/changes_model_test.cpp
+++ b/tests/changes_model_test.cpp
@@ -1,1 +1,480 @@
-// placeholder
+// Changes of configuration against a slow plain model of the rules, by generated commands; and with relays
+// and members on a virtual clock, under an observer who knows everything.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "changes/change_state.hpp"
+#include "changes/gather.hpp"
+
+using namespace tealcart::changes;
+
+namespace {
+
+constexpr Nanos second = 1'000'000'000;
+constexpr Nanos before_all = INT64_MIN / 4;
+
+// Everything is looked up anew each time, in lists; no index and no count is kept.
+struct Plain {
+    struct Has {
+        std::string relay;
+        bool exception;
+    };
+    struct Who {
+        std::string name;
+        std::uint64_t life = 0, stated = 0, refused = 0, told = 0;
+        Nanos serve_on = 0, bound = before_all, ended = before_all;
+        bool left = false;
+        std::vector<Has> has;
+    };
+    struct Relay {
+        std::string name;
+        std::uint64_t life = 0, number = 0, lowest = 0;
+        Nanos lease = before_all;
+        bool live = false;
+    };
+    struct Version {
+        Document document;
+    };
+
+    Limits limits;
+    std::vector<Document> versions{{}};  // by version; all are kept here
+    std::vector<Who> members;
+    std::vector<Relay> relays;
+    std::uint64_t in_force = 0, tripped = 0;
+    bool halted = false;
+    Nanos now = 0, hold = 0;
+    std::vector<Effect> effects;
+
+    std::uint64_t version() const { return versions.size() - 1; }
+    std::uint64_t agreed(std::uint64_t v) const { return v > version() ? 0 : v; }
+    Who* member(const std::string& name) {
+        for (Who& w : members)
+            if (w.name == name) return &w;
+        return nullptr;
+    }
+    Relay* relay(const std::string& name) {
+        for (Relay& r : relays)
+            if (r.name == name) return &r;
+        return nullptr;
+    }
+    std::uint64_t acts_on(const Who& w) {
+        std::uint64_t most = w.stated;
+        for (const Has& h : w.has)
+            if (!h.exception) most = std::max(most, relay(h.relay)->lowest);
+        return most;
+    }
+    bool lives(const Who& w) const { return !w.left && (!w.has.empty() || now <= w.bound + limits.drift); }
+    bool may_act(const Who& w) const {
+        return !w.left && (lives(w) || now <= std::max(w.bound, w.ended) + w.serve_on + limits.drift);
+    }
+    static bool named(const Who& w) {
+        return std::any_of(w.has.begin(), w.has.end(), [](const Has& h) { return h.exception; });
+    }
+    // The relay has the member no more.
+    void drop(Who& w, const std::string& r) {
+        w.stated = acts_on(w);
+        const std::size_t had = w.has.size();
+        std::erase_if(w.has, [&](const Has& h) { return h.relay == r; });
+        if (had > 0 && !w.has.empty() && !named(w)) w.refused = 0;
+    }
+    void drop_all(const Relay& r) {
+        for (Who& w : members) {
+            if (std::none_of(w.has.begin(), w.has.end(), [&](const Has& h) { return h.relay == r.name; }))
+                continue;
+            drop(w, r.name);
+            w.bound = std::max(w.bound, r.lease);
+        }
+    }
+    // A refusal of one that several relays have, or none, ends by itself once it acts on the version.
+    void mend_refusals() {
+        for (Who& w : members)
+            if (lives(w) && w.has.size() != 1 && w.refused <= acts_on(w)) w.refused = 0;
+    }
+
+    void pass(Nanos at) {
+        if (at <= now) return;
+        const Nanos gap = at - now;
+        if (now > 0 && gap > limits.lease / 4) {
+            for (Relay& r : relays)
+                if (r.live) r.lease += gap;
+            for (Who& w : members)
+                if (lives(w) && w.has.empty()) w.bound += gap;
+            hold = at + limits.lease + limits.drift;
+        }
+        now = at;
+        std::vector<Relay*> over;
+        for (Relay& r : relays)
+            if (r.live && now > r.lease + limits.drift) over.push_back(&r);
+        std::sort(over.begin(), over.end(), [](const Relay* a, const Relay* b) {
+            return std::pair(a->lease, a->name) < std::pair(b->lease, b->name);
+        });
+        for (Relay* r : over) {
+            drop_all(*r);
+            r->live = false;
+            effects.push_back({Effect::over, version(), "", {r->name}});
+        }
+        forget();
+    }
+    void forget() {
+        std::erase_if(members, [&](const Who& w) {
+            if (lives(w)) return false;
+            const Nanos kept = w.left ? limits.forget : std::max(limits.forget, w.serve_on + limits.drift);
+            return now > std::max(w.bound, w.ended) + kept;
+        });
+        std::erase_if(
+            relays, [&](const Relay& r) { return !r.live && now > r.lease + limits.forget + limits.drift; });
+    }
+
+    std::string fault(const RelayWord& w) {
+        const Relay* r = relay(w.relay);
+        if (r == nullptr) return w.whole ? "" : "it is not known: all is to be said";
+        if (w.life < r->life) return "an earlier life";
+        if (w.life == r->life && w.number <= r->number) return "overtaken";
+        if (w.whole) return "";
+        if (w.life > r->life) return "a new life: all is to be said";
+        return r->live ? "" : "its lease was over: all is to be said";
+    }
+    void take(const RelayWord& w) {
+        if (const std::string why = fault(w); !why.empty())
+            return effects.push_back({Effect::stale, version(), why, {w.relay}});
+        Relay* r = relay(w.relay);
+        if (r == nullptr) r = &relays.emplace_back(Relay{w.relay, w.life});
+        if (w.whole) drop_all(*r);
+        if (!r->live || r->life != w.life) r->lease = before_all;
+        r->life = w.life, r->number = w.number, r->live = true;
+        r->lease = std::max(r->lease, now + limits.lease);
+        for (const auto& [name, life] : w.left) {
+            Who* m = member(name);
+            if (m == nullptr || m->life != life || m->left) continue;
+            m->stated = acts_on(*m);
+            m->has.clear();
+            m->left = true, m->refused = 0, m->ended = now;
+        }
+        for (const auto& [name, life] : w.lost) {
+            Who* m = member(name);
+            if (m == nullptr || m->life != life) continue;
+            if (std::none_of(m->has.begin(), m->has.end(), [&](const Has& h) { return h.relay == w.relay; }))
+                continue;
+            drop(*m, w.relay);
+            m->ended = std::max(m->ended, now);
+        }
+        r->lowest = agreed(w.lowest);
+        mend_refusals();
+        for (const MemberWord& j : w.joined) {
+            Who* m = member(j.name);
+            if (m != nullptr && j.life < m->life) {
+                effects.push_back({Effect::stale, version(), "an earlier life", {j.name}});
+                continue;
+            }
+            if (m == nullptr) m = &members.emplace_back();
+            if (j.life > m->life) *m = Who{};
+            m->name = j.name, m->life = j.life, m->left = false, m->serve_on = j.serve_on;
+            m->stated = std::max(m->stated, agreed(j.acts_on));
+            if (std::none_of(m->has.begin(), m->has.end(), [&](const Has& h) { return h.relay == w.relay; }))
+                m->has.push_back({w.relay, false});
+            if (!named(*m)) m->refused = 0;
+            mend_refusals();
+        }
+        std::set<std::string> listed;
+        for (const MemberWord& e : w.exceptions) {
+            Who* m = member(e.name);
+            if (m == nullptr || m->life != e.life) continue;
+            const auto has =
+                std::find_if(m->has.begin(), m->has.end(), [&](const Has& h) { return h.relay == w.relay; });
+            if (has == m->has.end()) continue;
+            has->exception = true;
+            listed.insert(e.name);
+            m->stated = std::max(m->stated, agreed(e.acts_on));
+            m->refused = agreed(e.refused) > acts_on(*m) ? e.refused : 0;
+            if (m->refused > m->told) {
+                m->told = m->refused;
+                effects.push_back({Effect::member_refuses, m->refused, e.why, {e.name}});
+            }
+        }
+        for (Who& m : members)
+            for (Has& h : m.has)
+                if (h.relay == w.relay && h.exception && !listed.contains(m.name)) {
+                    h.exception = false;
+                    if (!named(m)) m.refused = 0;
+                }
+        mend_refusals();
+    }
+
+    void refuse(const std::string& why, std::vector<std::string> names = {}) {
+        effects.push_back({Effect::refused, version(), why, std::move(names)});
+    }
+    void make(const Document& next) {
+        if (next == versions.back()) return refuse("nothing would change");
+        versions.push_back(next);
+        effects.push_back({Effect::published, version(), "", {}});
+    }
+    void on(const Publish& c) {
+        if (halted) return refuse("halted: " + halted_for);
+        if (c.based_on && *c.based_on != version())
+            return refuse("based on version " + std::to_string(*c.based_on) + ", the latest is " +
+                          std::to_string(version()));
+        Document next = versions.back();
+        for (const auto& [key, value] : c.set) next[key] = value;
+        for (const std::string& key : c.removed) next.erase(key);
+        make(next);
+    }
+    void on(const GoBack& c) {
+        if (c.to == 0 || c.to > version() || c.to + limits.most_kept <= version())
+            return refuse("version " + std::to_string(c.to) + " is not kept");
+        make(Document(versions[c.to]));
+    }
+    void on(const Resume&) {
+        halted = false;
+        halted_for.clear();
+        effects.push_back({Effect::resumed, version(), "", {}});
+    }
+    void on(const Words& c) {
+        for (const RelayWord& w : c.words) take(w);
+    }
+    void on(const Forget& c) {
+        const Who* m = member(c.name);
+        if (m == nullptr) return refuse("no such member", {c.name});
+        if (lives(*m)) return refuse("its lease is not over", {c.name});
+        std::erase_if(members, [&](const Who& w) { return w.name == c.name; });
+        effects.push_back({Effect::forgotten, version(), "", {c.name}});
+    }
+    void on(const Allow& c) {
+        limits = c.limits;
+        std::vector<Effect> kept = effects;
+        const Nanos at = now;
+        now = at - 1;
+        limits.lease = INT64_MAX / 8;  // no gap
+        pass(at);
+        limits = c.limits;
+    }
+    void on(const Tick&) {}
+
+    std::vector<Effect> apply(const Command& c) {
+        effects.clear();
+        pass(c.at);
+        std::visit([this](const auto& what) { on(what); }, c.what);
+        std::size_t live = 0, refusing = 0;
+        std::uint64_t least = version();
+        std::vector<std::string> names;
+        for (const Who& w : members) {
+            if (!lives(w)) continue;
+            ++live;
+            refusing += w.refused > 0 && w.refused == version();
+            least = std::min(least, acts_on(w));
+        }
+        if (tripped != version() && refusing > 0 && refusing >= limits.halt_refused_least &&
+            static_cast<double>(refusing) > limits.halt_refused * static_cast<double>(live)) {
+            tripped = version();
+            halted = true;
+            halted_for = std::to_string(refusing) + " of " + std::to_string(live) +
+                         " members refuse version " + std::to_string(version());
+            effects.push_back({Effect::halted, version(), halted_for, {}});
+        }
+        if (now >= hold && least > in_force) {
+            in_force = least;
+            for (const Who& w : members)
+                if (!lives(w) && may_act(w) && w.stated < least) names.push_back(w.name);
+            std::sort(names.begin(), names.end());
+            effects.push_back({Effect::in_force, least, "", names});
+        }
+        return effects;
+    }
+    std::string halted_for;
+};
+
+Limits limits_of_test() {
+    Limits l;
+    l.lease = 12 * second, l.drift = second, l.forget = 30 * second;
+    l.halt_refused = 0.2, l.halt_refused_least = 1;
+    l.most_kept = 6;
+    return l;
+}
+
+using Random = std::knuth_b;
+int below(Random& random, int n) { return static_cast<int>(random() % static_cast<std::uint64_t>(n)); }
+
+// Words that no Gather would say are among them: what is stated need not fit together.
+struct Generator {
+    explicit Generator(std::uint64_t seed) : random(seed) {}
+
+    MemberWord member_word(std::uint64_t version) {
+        MemberWord w{"m" + std::to_string(below(random, 9)), 1, below(random, 4) * 10 * second, 0, 0, ""};
+        std::uint64_t& life = lives[w.name];
+        if (life == 0 || below(random, 12) == 0) ++life;
+        w.life = below(random, 10) == 0 && life > 1 ? life - 1 : life;
+        w.acts_on = version - std::min<std::uint64_t>(version, static_cast<std::uint64_t>(below(random, 4)));
+        if (below(random, 25) == 0) w.acts_on = version + 3;
+        if (below(random, 3) == 0) w.refused = version, w.why = "no";
+        return w;
+    }
+    RelayWord relay_word(std::uint64_t version) {
+        RelayWord w;
+        // At any time one of them is silent.
+        w.relay = "r" + std::to_string((now / (40 * second) + 1 + below(random, 3)) % 4);
+        w.zone = "z";
+        auto& [life, number, first] = relays[w.relay];
+        if (life == 0 || below(random, 25) == 0) ++life, number = 0, first = true;
+        w.life = life;
+        w.number = below(random, 12) == 0 ? number : ++number;
+        w.whole = std::exchange(first, false) || below(random, 8) == 0;
+        for (int i = below(random, 4); i > 0; --i) w.joined.push_back(member_word(version));
+        for (int i = below(random, 2); i > 0; --i) {
+            const MemberWord m = member_word(version);
+            (below(random, 3) == 0 ? w.left : w.lost).emplace_back(m.name, m.life);
+        }
+        const auto behind = static_cast<std::uint64_t>(below(random, 3));
+        w.lowest = version - std::min(version, behind);
+        for (int i = below(random, 5); i > 0; --i) w.exceptions.push_back(member_word(version));
+        return w;
+    }
+    Command next(const ChangeState& state) {
+        Command c{"", now, Tick{}};
+        const std::uint64_t v = state.version();
+        switch (below(random, 24)) {
+            case 0:
+            case 1: {
+                Publish p{"ann", {}, {}, {}};
+                p.set["k" + std::to_string(below(random, 5))] = std::to_string(below(random, 3));
+                if (below(random, 3) == 0) p.removed.insert("l" + std::to_string(below(random, 3)));
+                if (below(random, 3) == 0) p.set["l" + std::to_string(3 + below(random, 3))] = "x";
+                if (below(random, 4) == 0)
+                    p.based_on = v - static_cast<std::uint64_t>(v > 0 && below(random, 2));
+                c.what = p;
+                if (below(random, 2) == 0) c.id = "p" + std::to_string(below(random, 40));
+                break;
+            }
+            case 2:
+                c.what = GoBack{"bob", static_cast<std::uint64_t>(below(random, static_cast<int>(v) + 2))};
+                break;
+            case 3:
+                c.what = Resume{};
+                break;
+            case 4:
+                c.what = Forget{"m" + std::to_string(below(random, 9))};
+                break;
+            case 5: {
+                if (below(random, 4) != 0) break;
+                Limits l = limits_of_test();
+                l.drift = (1 + below(random, 3)) * second;
+                l.lease = (10 + below(random, 4)) * second;
+                l.forget = (20 + below(random, 20)) * second;
+                c.what = Allow{l};
+                break;
+            }
+            case 6:
+            case 7:
+            case 8:
+            case 9:
+            case 10:
+                now += (1 + below(random, 2)) * second;
+                if (below(random, 40) == 0) now += below(random, 30) * second;
+                if (below(random, 20) == 0) now -= second;
+                c.at = now;
+                break;
+            default: {
+                Words words;
+                for (int i = 1 + below(random, 2); i > 0; --i) words.words.push_back(relay_word(v));
+                c.what = std::move(words);
+            }
+        }
+        return c;
+    }
+
+    struct Of {
+        std::uint64_t life = 0, number = 0;
+        bool first = true;
+    };
+    Random random;
+    Nanos now = 1000 * second;
+    std::map<std::string, std::uint64_t> lives;
+    std::map<std::string, Of> relays;
+};
+
+void compare(const ChangeState& state, Plain& plain) {
+    REQUIRE(state.version() == plain.version());
+    REQUIRE(state.in_force() == plain.in_force);
+    REQUIRE(state.halted() == plain.halted);
+    REQUIRE(state.document() == plain.versions.back());
+    REQUIRE(state.digest() == digest_of(plain.versions.back()));
+    REQUIRE(state.members() == plain.members.size());
+    for (const std::uint64_t v : {state.version(), state.in_force(), state.in_force() + 1}) {
+        Reach want;
+        for (Plain::Who& w : plain.members) {
+            const std::uint64_t acts = plain.acts_on(w);
+            if (!plain.lives(w)) {
+                if (acts < v && plain.may_act(w)) want.unheard.push_back(w.name);
+                continue;
+            }
+            ++want.live;
+            want.acting += acts >= v;
+            if (acts < v) want.behind.push_back(w.name);
+            if (w.refused > 0) want.refusing.push_back(w.name);
+        }
+        const Reach is = state.reach(v, 100);
+        REQUIRE(is.live == want.live);
+        REQUIRE(is.acting == want.acting);
+        for (auto* list : {&want.behind, &want.refusing, &want.unheard})
+            std::sort(list->begin(), list->end());
+        REQUIRE(is.behind == want.behind);
+        REQUIRE(is.refusing == want.refusing);
+        REQUIRE(is.unheard == want.unheard);
+    }
+    // What leads from each version to the latest, as far as it is kept.
+    for (std::uint64_t v = 0; v <= state.version(); ++v) {
+        const auto delta = state.since(v);
+        REQUIRE(delta.has_value() == (v + state.limits().most_kept >= state.version()));
+        if (!delta) continue;
+        Document document = plain.versions[v];
+        for (const auto& [key, value] : delta->set) document[key] = value;
+        for (const std::string& key : delta->removed) document.erase(key);
+        REQUIRE(document == state.document());
+        REQUIRE(delta->digest == state.digest());
+    }
+}
+
+}  // namespace
+
+TEST_CASE("generated commands give what the plain model of changes gives, on each replica") {
+    std::map<Effect::Kind, std::size_t> told;
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        CAPTURE(seed);
+        Generator generator(seed);
+        ChangeState state(limits_of_test()), other(limits_of_test());
+        Plain plain;
+        plain.limits = limits_of_test();
+        std::map<std::string, std::vector<Effect>> came;
+        for (int step = 0; step < 600; ++step) {
+            CAPTURE(step);
+            const Command c = generator.next(state);
+            const std::vector<Effect> effects = state.apply(c);
+            // One that comes twice is one, on whichever replica; a later one with its id is taken for it.
+            const auto [known, is_new] = came.emplace(c.id, effects);
+            if (!is_new && !c.id.empty()) {
+                REQUIRE(effects == known->second);
+            } else {
+                const std::vector<Effect> want = plain.apply(c);
+                REQUIRE(effects == want);
+                for (const Effect& e : effects) ++told[e.kind];
+            }
+            const auto bytes = write_command(c);
+            REQUIRE(other.apply(read_command(bytes.data(), bytes.size())) == effects);
+            if (step % 7 == 0) {
+                ChangeState read{Limits{}};
+                read.load(other.save());
+                other = std::move(read);
+            }
+            if (step % 5 == 0) {
+                REQUIRE(other.save() == state.save());
+                compare(state, plain);
+            }
+        }
+    }
+    // The runs go through all of it.
+    for (const auto kind :
+         {Effect::published, Effect::refused, Effect::in_force, Effect::member_refuses, Effect::halted,
+          Effect::resumed, Effect::over, Effect::stale, Effect::forgotten}) {
+        CAPTURE(int(kind));
+        CHECK(told[kind] > 50);
+    }
+}
