--- a/src/changes/change_state.cpp
+++ b/src/changes/change_state.cpp
@@ -5,7 +5,7 @@
 namespace tealcart::changes {
 namespace {
 
-constexpr std::size_t longest_key = 128, longest_name = 128, longest_why = 256;
+constexpr std::size_t longest_key = 128;
 
 bool well_formed(const std::string& text, std::size_t longest) {
     return !text.empty() && text.size() <= longest && std::none_of(text.begin(), text.end(), [](char c) {
@@ -348,7 +348,7 @@
         m.stated = std::max(m.stated, agreed(w.acts_on));
         const std::uint64_t acts = acts_on(m), refused = agreed(w.refused);
         m.refused = refused > acts ? refused : 0;
-        m.why = m.refused > 0 ? w.why.substr(0, longest_why) : "";
+        m.why = m.refused > 0 ? cut(w.why, longest_why) : "";
         put_in(w.name, m);
         now.insert(w.name);
         if (m.refused > m.refused_told) {
@@ -415,7 +415,7 @@
 }
 
 void ChangeState::publish(const std::string& asker, const Change& change) {
-    Kept k{++version_, now_, asker.substr(0, longest_name), change, {}, 0};
+    Kept k{++version_, now_, cut(asker, longest_name), change, {}, 0};
     const auto save_old = [&](const std::string& key) {
         const auto it = document_.find(key);
         if (it == document_.end()) return void(k.back.removed.insert(key));
--- a/src/changes/gather.cpp
+++ b/src/changes/gather.cpp
@@ -10,7 +10,10 @@
       most_exceptions_(most_exceptions) {}
 
 // Words may overtake each other: an older one renews, and says nothing else.
-bool Gather::heard(Nanos now, const MemberWord& word) {
+bool Gather::heard(Nanos now, const MemberWord& said) {
+    if (said.name.empty() || said.name.size() > longest_name) return false;
+    MemberWord word = said;
+    word.why = cut(word.why, longest_why);
     const auto it = members_.find(word.name);
     if (it == members_.end()) {
         if (members_.size() >= most_members_) return false;
--- a/src/changes/gather.hpp
+++ b/src/changes/gather.hpp
@@ -22,7 +22,8 @@
     Gather(std::string relay, std::string zone, std::uint64_t life, std::size_t most_members,
            std::size_t most_exceptions);
 
-    // A member spoke. None: an earlier life than the one that is known, or no room.
+    // A member spoke. False: an earlier life than the one that is known, no room, or a name that none can
+    // have.
     bool heard(Nanos now, const MemberWord& word);
     void left(const std::string& name, std::uint64_t life);
     // What is granted to a member that is answered now: what is left of the relay's own lease; 0: none, or
--- a/src/changes/words.hpp
+++ b/src/changes/words.hpp
@@ -1,6 +1,7 @@
 // What is said of members upward: by a member itself, and by a relay of all its members at once.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -10,6 +11,15 @@
 
 namespace tealcart::changes {
 
+constexpr std::size_t longest_name = 128, longest_why = 256;  // bytes
+
+// Not in the middle of a character of UTF-8, which no JSON would take.
+inline std::string cut(const std::string& text, std::size_t most) {
+    if (text.size() <= most) return text;
+    while (most > 0 && (static_cast<unsigned char>(text[most]) & 0xc0) == 0x80) --most;
+    return text.substr(0, most);
+}
+
 // What a relay says of one member: at its first word, and later where it is an exception.
 struct MemberWord {
     std::string name;
@@ -17,7 +27,7 @@
     Nanos serve_on = 0;         // after its lease it may act by what it last knew for so long
     std::uint64_t acts_on = 0;  // the version it acts by; 0: what it was started with
     std::uint64_t refused = 0;  // the version that it can't take over, 0 for none
-    std::string why;            // of the refusal
+    std::string why;            // of the refusal; what is longer than `longest_why` is cut
 
     friend bool operator==(const MemberWord&, const MemberWord&) = default;
 };
--- a/tests/changes_test.cpp
+++ b/tests/changes_test.cpp
@@ -569,3 +569,23 @@
     CHECK(w.lowest == 5);
     CHECK(w.exceptions.size() == 2);
 }
+
+TEST_CASE("a long reason is cut between two characters, a name that is too long is not heard") {
+    CHECK(cut("abc", 3) == "abc");
+    CHECK(cut("a\xc3\xa4\xc3\xa4", 4) == "a\xc3\xa4");
+    CHECK(cut("a\xc3\xa4\xc3\xa4", 3) == "a\xc3\xa4");
+    MemberWord w = refuses("m1", 0, 1);
+    w.why.clear();
+    for (int i = 0; i < 200; ++i) w.why += "\xe2\x82\xac";
+    Changes c;
+    c.says(c.first("r1", {member("m1")}));
+    c.set("a", "1");
+    const auto told = c.says(c.word("r1", 1, {w}));
+    REQUIRE(told.size() >= 1);
+    CHECK(told[0].why.size() == 255);
+    Gather g("r1", "z", 1, 10, 2);
+    CHECK_FALSE(g.heard(0, member("")));
+    CHECK_FALSE(g.heard(0, member(std::string(129, 'm'))));
+    REQUIRE(g.heard(0, w));
+    CHECK(g.word(0, second).joined.at(0).why.size() == 255);
+}
