--- a/src/fleet/fleet_bytes.cpp
+++ b/src/fleet/fleet_bytes.cpp
@@ -2,6 +2,7 @@
 // that an earlier program can't read.
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <utility>
 
 #include "fleet/fleet_state.hpp"
 
@@ -126,10 +127,174 @@
     throw std::runtime_error("a command '" + word + "' that this program does not know");
 }
 
+// CBOR as json::to_cbor writes it.
+struct CborWriter {
+    std::vector<std::uint8_t> bytes;
+
+    void head(int major, std::uint64_t n) {
+        const int size = n < 24 ? 0 : n <= 0xff ? 1 : n <= 0xffff ? 2 : n <= 0xffffffff ? 4 : 8;
+        const std::uint64_t low = size == 0 ? n : size == 1 ? 24 : size == 2 ? 25 : size == 4 ? 26 : 27;
+        bytes.push_back(static_cast<std::uint8_t>(static_cast<std::uint64_t>(major) << 5 | low));
+        for (int i = size - 1; i >= 0; --i) bytes.push_back(static_cast<std::uint8_t>(n >> (8 * i)));
+    }
+    void number(std::uint64_t n) { head(0, n); }
+    void number(std::int64_t n) {
+        if (n >= 0)
+            head(0, static_cast<std::uint64_t>(n));
+        else
+            head(1, static_cast<std::uint64_t>(-(n + 1)));
+    }
+    void flag(bool on) { bytes.push_back(on ? 0xf5 : 0xf4); }
+    void text(const std::string& t) {
+        head(3, t.size());
+        bytes.insert(bytes.end(), t.begin(), t.end());
+    }
+    void array(std::size_t size) { head(4, size); }
+    void map(std::size_t size) { head(5, size); }
+};
+
+void write(CborWriter& to, const std::map<std::string, Node>& nodes) {
+    to.map(nodes.size());
+    for (const auto& [name, n] : nodes) {
+        to.text(name);
+        to.array(5);
+        to.text(n.zone), to.text(n.kind);
+        to.array(n.shards.size());
+        for (const std::uint32_t shard : n.shards) to.number(std::uint64_t{shard});
+        to.number(static_cast<std::uint64_t>(n.health)), to.number(n.started_at);
+    }
+}
+
+void write(CborWriter& to, const std::map<std::string, Member>& members) {
+    to.map(members.size());
+    for (const auto& [name, m] : members) {
+        to.text(name);
+        to.array(10);
+        to.number(static_cast<std::uint64_t>(m.role));
+        to.text(m.zone), to.text(m.version), to.text(m.digest);
+        to.number(m.life), to.number(m.serve_on), to.number(m.lease_until);
+        to.flag(m.lost), to.flag(m.left);
+        to.array(5);
+        to.number(m.word.acts_on);
+        to.array(m.word.in_hand.size());
+        for (const Target& t : m.word.in_hand) to.array(2), to.flag(t.router), to.text(t.name);
+        to.array(m.word.silent.size());
+        for (const std::string& node : m.word.silent) to.text(node);
+        to.number(m.word.queries), to.number(m.word.failed);
+    }
+}
+
+// CBOR as CborWriter writes it; what is not so throws std::runtime_error.
+class CborReader {
+  public:
+    CborReader(const std::uint8_t* at, std::size_t size) : at_(at), end_(at + size) {}
+
+    const std::uint8_t* at() const { return at_; }
+    std::uint64_t number() { return read(0); }
+    std::int64_t whole() {
+        if (peek() >> 5 == 0) return static_cast<std::int64_t>(read(0));
+        return -1 - static_cast<std::int64_t>(read(1));
+    }
+    bool flag() {
+        const std::uint8_t byte = peek();
+        if (byte != 0xf4 && byte != 0xf5) fail();
+        ++at_;
+        return byte == 0xf5;
+    }
+    std::string text() {
+        const auto size = static_cast<std::size_t>(sized(3, 1));
+        const std::uint8_t* const from = std::exchange(at_, at_ + size);
+        return {from, at_};
+    }
+    std::size_t array() { return static_cast<std::size_t>(sized(4, 1)); }
+    void array(std::size_t size) {
+        if (array() != size) fail();
+    }
+    std::size_t map() { return static_cast<std::size_t>(sized(5, 2)); }
+    // Passes over one value, with what it holds.
+    void skip() {
+        for (std::uint64_t left = 1; left > 0; --left) {
+            const int major = peek() >> 5;
+            if (major == 3)
+                text();
+            else if (major == 4)
+                left += array();
+            else if (major == 5)
+                left += 2 * map();
+            else if (major == 7 && (peek() & 31) < 25)
+                flag();
+            else
+                read(major);  // also numbers with a fraction
+        }
+    }
+
+  private:
+    [[noreturn]] static void fail() { throw std::runtime_error("its CBOR is spoilt"); }
+    std::uint8_t peek() const { return at_ == end_ ? (fail(), std::uint8_t{}) : *at_; }
+    std::uint64_t read(int major) {
+        const std::uint8_t first = peek();
+        const int low = first & 31;
+        if (first >> 5 != major || low > 27) fail();
+        ++at_;
+        if (low < 24) return static_cast<std::uint64_t>(low);
+        const std::ptrdiff_t size = std::ptrdiff_t{1} << (low - 24);
+        if (end_ - at_ < size) fail();
+        std::uint64_t n = 0;
+        for (std::ptrdiff_t i = 0; i < size; ++i) n = n << 8 | *at_++;
+        return n;
+    }
+    // No more than there are bytes for.
+    std::uint64_t sized(int major, std::uint64_t each) {
+        const std::uint64_t n = read(major);
+        if (n > static_cast<std::uint64_t>(end_ - at_) / each) fail();
+        return n;
+    }
+
+    const std::uint8_t* at_;
+    const std::uint8_t* const end_;
+};
+
+void read(CborReader& from, std::map<std::string, Node>& nodes) {
+    for (std::size_t left = from.map(); left > 0; --left) {
+        const std::string name = from.text();
+        from.array(5);
+        Node& n = nodes.emplace_hint(nodes.end(), name, Node{})->second;
+        n.zone = from.text(), n.kind = from.text();
+        n.shards.resize(from.array());
+        for (std::uint32_t& shard : n.shards) shard = static_cast<std::uint32_t>(from.number());
+        n.health = static_cast<Health>(from.number()), n.started_at = from.whole();
+    }
+}
+
+void read(CborReader& from, std::map<std::string, Member>& members) {
+    for (std::size_t left = from.map(); left > 0; --left) {
+        const std::string name = from.text();
+        from.array(10);
+        Member& m = members.emplace_hint(members.end(), name, Member{})->second;
+        m.role = static_cast<Role>(from.number());
+        m.zone = from.text(), m.version = from.text(), m.digest = from.text();
+        m.life = from.number(), m.serve_on = from.whole(), m.lease_until = from.whole();
+        m.lost = from.flag(), m.left = from.flag();
+        from.array(5);
+        m.word.acts_on = from.number();
+        for (std::size_t targets = from.array(); targets > 0; --targets) {
+            from.array(2);
+            const bool router = from.flag();
+            m.word.in_hand.insert({router, from.text()});
+        }
+        for (std::size_t silent = from.array(); silent > 0; --silent) m.word.silent.insert(from.text());
+        m.word.queries = from.number(), m.word.failed = from.number();
+    }
+}
+
+struct OtherForm : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
 void check_form(const json& all, int ours, const char* what) {
     if (const int form = all.at("form").get<int>(); form != ours)
-        throw std::runtime_error(std::string(what) + " of form " + std::to_string(form) +
-                                 ", this program reads " + std::to_string(ours));
+        throw OtherForm(std::string(what) + " of form " + std::to_string(form) + ", this program reads " +
+                        std::to_string(ours));
 }
 
 }  // namespace
@@ -153,10 +318,7 @@
 }
 
 std::vector<std::uint8_t> FleetState::save() const {
-    json members = json::object(), requests = json::array(), out = json::array(), remembered = json::array();
-    for (const auto& [name, m] : members_)
-        members[name] = {int(m.role), m.zone,        m.version, m.digest, m.life,
-                         m.serve_on,  m.lease_until, m.lost,    m.left,   of(m.word)};
+    json requests = json::array(), out = json::array(), remembered = json::array();
     for (const auto& [id, r] : requests_)
         requests.push_back(
             {id, r.asker, of(r.target), int(r.stage), r.fence, r.generation, r.held_by, r.unheard});
@@ -167,70 +329,88 @@
             list.push_back({int(e.kind), e.request, e.fence, e.generation, e.about, e.why});
         remembered.push_back({id, list});
     }
-    return json::to_cbor({{"form", state_form},
-                          {"budgets", of(budgets_)},
-                          {"members", members},
-                          {"nodes", of(nodes_)},
-                          {"requests", requests},
-                          {"out", out},
-                          {"remembered", remembered},
-                          {"numbers", {generation_, fence_, last_request_}},
-                          {"halted", halted_},
-                          {"halted_for", halted_for_},
-                          {"tripped", tripped_},
-                          {"silent", found_silent_},
-                          {"times", {now_, hold_until_}}});
+    const json rest = {{"form", state_form},          {"budgets", of(budgets_)},
+                       {"requests", requests},        {"out", out},
+                       {"remembered", remembered},    {"numbers", {generation_, fence_, last_request_}},
+                       {"halted", halted_},           {"halted_for", halted_for_},
+                       {"tripped", tripped_},         {"silent", found_silent_},
+                       {"times", {now_, hold_until_}}};
+    // Members and nodes, which are nearly all of it, without a document in between. Keys stand in their
+    // order.
+    CborWriter cbor;
+    cbor.map(rest.size() + 2);
+    bool listed = false;
+    for (const auto& [key, part] : rest.items()) {
+        if (key > "members" && !std::exchange(listed, true)) {
+            cbor.text("members");
+            write(cbor, members_);
+            cbor.text("nodes");
+            write(cbor, nodes_);
+        }
+        cbor.text(key);
+        json::to_cbor(part, cbor.bytes);
+    }
+    return std::move(cbor.bytes);
 }
 
 void FleetState::load(const std::vector<std::uint8_t>& bytes) {
-    FleetState read(budgets_);
+    FleetState anew(budgets_);
     try {
-        const json all = json::from_cbor(bytes);
+        // Where each part stands; members and nodes are read from there without a document in between.
+        std::map<std::string, std::pair<const std::uint8_t*, std::size_t>> parts;
+        json all = json::object();
+        CborReader cbor(bytes.data(), bytes.size());
+        for (std::size_t left = cbor.map(); left > 0; --left) {
+            const std::string key = cbor.text();
+            const std::uint8_t* const from = cbor.at();
+            cbor.skip();
+            const auto size = static_cast<std::size_t>(cbor.at() - from);
+            if (key == "members" || key == "nodes")
+                parts[key] = {from, size};
+            else
+                all[key] = json::from_cbor(from, from + size);
+        }
         check_form(all, state_form, "a fleet's state");
-        read.budgets_ = budgets_of(all.at("budgets"));
-        for (const auto& [name, m] : all.at("members").items())
-            read.members_[name] = {static_cast<Role>(m.at(0).get<int>()),
-                                   m.at(1),
-                                   m.at(2),
-                                   m.at(3),
-                                   m.at(4),
-                                   m.at(5),
-                                   m.at(6),
-                                   m.at(7),
-                                   m.at(8),
-                                   word_of(m.at(9))};
-        read.nodes_ = nodes_of(all.at("nodes"));
+        if (parts.size() != 2 || cbor.at() != bytes.data() + bytes.size())
+            throw std::runtime_error("a part is missing, or bytes are left over");
+        CborReader members(parts["members"].first, parts["members"].second);
+        read(members, anew.members_);
+        CborReader nodes(parts["nodes"].first, parts["nodes"].second);
+        read(nodes, anew.nodes_);
+        anew.budgets_ = budgets_of(all.at("budgets"));
         for (const json& r : all.at("requests"))
-            read.requests_[r.at(0)] = {r.at(1),
+            anew.requests_[r.at(0)] = {r.at(1),
                                        target_of(r.at(2)),
                                        static_cast<Stage>(r.at(3).get<int>()),
                                        r.at(4),
                                        r.at(5),
                                        r.at(6),
                                        r.at(7).get<std::set<std::string>>()};
-        for (const json& o : all.at("out")) read.out_[target_of(o.at(0))] = o.at(1);
+        for (const json& o : all.at("out")) anew.out_[target_of(o.at(0))] = o.at(1);
         for (const json& c : all.at("remembered")) {
             std::vector<Effect> effects;
             for (const json& e : c.at(1))
                 effects.push_back({static_cast<Effect::Kind>(e.at(0).get<int>()), e.at(1), e.at(2), e.at(3),
                                    e.at(4), e.at(5)});
-            read.came_.push_back(c.at(0));
-            read.remembered_[read.came_.back()] = std::move(effects);
+            anew.came_.push_back(c.at(0));
+            anew.remembered_[anew.came_.back()] = std::move(effects);
         }
-        read.generation_ = all.at("numbers").at(0);
-        read.fence_ = all.at("numbers").at(1);
-        read.last_request_ = all.at("numbers").at(2);
-        read.halted_ = all.at("halted");
-        read.halted_for_ = all.at("halted_for");
-        read.tripped_ = all.at("tripped").get<std::set<std::string>>();
-        read.found_silent_ = all.at("silent").get<std::set<std::string>>();
-        read.now_ = all.at("times").at(0);
-        read.hold_until_ = all.at("times").at(1);
-    } catch (const json::exception& e) {
+        anew.generation_ = all.at("numbers").at(0);
+        anew.fence_ = all.at("numbers").at(1);
+        anew.last_request_ = all.at("numbers").at(2);
+        anew.halted_ = all.at("halted");
+        anew.halted_for_ = all.at("halted_for");
+        anew.tripped_ = all.at("tripped").get<std::set<std::string>>();
+        anew.found_silent_ = all.at("silent").get<std::set<std::string>>();
+        anew.now_ = all.at("times").at(0);
+        anew.hold_until_ = all.at("times").at(1);
+    } catch (const OtherForm&) {
+        throw;
+    } catch (const std::exception& e) {
         throw std::runtime_error(std::string("a fleet's state that can't be read: ") + e.what());
     }
-    read.recount();
-    *this = std::move(read);
+    anew.recount();
+    *this = std::move(anew);
 }
 
 }  // namespace tealcart::fleet
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -185,6 +185,19 @@
     Fleet f;
     CHECK_THROWS_WITH(f.state.load({1, 2, 3}), Catch::StartsWith("a fleet's state that can't be read"));
     CHECK(f.state.nodes().size() == 6);
+    // Cut off anywhere, or with more behind it, it is noise.
+    f.tell(Ask{"ann", {false, "n0"}});
+    f.tell(Renew{"r1", 1, {0, {{false, "n3"}}, {"n4"}, 7, 1}});
+    auto cut = f.state.save();
+    cut.push_back(0);
+    CHECK_THROWS_WITH(f.state.load(cut), Catch::StartsWith("a fleet's state that can't be read"));
+    for (cut.pop_back(); !cut.empty();) {
+        cut.pop_back();
+        CHECK_THROWS_WITH(f.state.load(cut), Catch::StartsWith("a fleet's state that can't be read"));
+    }
+    const auto whole = f.state.save();
+    f.state.load(whole);
+    CHECK(f.state.save() == whole);
     auto other = f.state.save();
     const auto at = std::search(other.begin(), other.end(), "form", "form" + 4);
     REQUIRE(at != other.end());
@@ -550,7 +563,8 @@
     int next = 0;
     const auto batch = [&] {
         Words words;
-        for (int i = 0; i < 6; ++i) words.renewals.push_back({router(next++), 1, {state.generation()}});
+        for (int i = 0; i < 6; ++i)
+            words.renewals.push_back({router(next++), 1, {state.generation(), {}, {}, 0, 0}});
         return tell(words);
     };
     Looked looked;
