Stewards' news costs what changed; the status of a great fleet lists exceptions

Cause: every 100 ms the leader compared all nodes with the agreed state, each by all shards; status was 9 MB at 81,000 nodes. Change: NodeView keeps the names to look at: told of by discovery, agreed in the log by whoever, warm now, not agreed yet; all of them when it begins to lead, a state is loaded or discovery falls silent or speaks again. A node's shards are listed by its place. Undo looks its targets up. A request's query is kept beside its path. Tests: news against a new view's look at all nodes in generated histories, work looked at, the status at 200, 201 and 2,000. No existing check was changed.

--- a/measure/fleet_cost.cpp
+++ b/measure/fleet_cost.cpp
@@ -134,12 +134,14 @@
     run.counters["MB"] = static_cast<double>(bytes.size()) / 1e6;
 }
 
-void status(benchmark::State& run) {
+void status(benchmark::State& run, bool all) {
     Fleet fleet(run.range(0), run.range(1), 20);
     std::size_t bytes = 0;
-    for (auto _ : run) bytes = tealcart::steward::write_status(fleet.state, StewardFigures{}).size();
+    for (auto _ : run) bytes = tealcart::steward::write_status(fleet.state, StewardFigures{}, all).size();
     run.counters["MB"] = static_cast<double>(bytes) / 1e6;
 }
+void status_of_all(benchmark::State& run) { status(run, true); }
+void status_of_exceptions(benchmark::State& run) { status(run, false); }
 
 void sizes(benchmark::internal::Benchmark* b) {
     b->Args({1000, 300})->Args({10'000, 300})->Args({10'000, 3600})->Args({81'000, 3600});
@@ -157,7 +159,8 @@
 BENCHMARK(news_of_one_node)->Apply(timed);
 BENCHMARK(snapshot_saved)->Apply(sizes);
 BENCHMARK(snapshot_loaded)->Apply(sizes);
-BENCHMARK(status)->Apply(sizes);
+BENCHMARK(status_of_all)->Apply(sizes);
+BENCHMARK(status_of_exceptions)->Apply(sizes);
 
 }  // namespace
 
--- a/src/steward/command_main.cpp
+++ b/src/steward/command_main.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <set>
 #include <thread>
 
 #include "steward/asker.hpp"
@@ -27,7 +28,7 @@
     std::string file, zone, asker, id, why, name, address;
     std::uint64_t steward = 0;
     double within_s = 10;
-    bool wait = false, json = false;
+    bool wait = false, json = false, all = false;
 };
 
 std::vector<HostPort> stewards_of(const Asked& asked) {
@@ -97,11 +98,12 @@
 
 // The state as the steward that leads has it; where none says that it leads, as any has it. Null: none
 // answers.
-Json state_of(const std::vector<HostPort>& stewards) {
+Json state_of(const std::vector<HostPort>& stewards, bool all = false) {
     boost::asio::io_context io(1);
     Json found;
+    const char* const path = all ? "/fleet/status?all=1" : "/fleet/status";
     for (const HostPort& at : stewards) {
-        const Reply reply = ask_once(io, at, "/fleet/status", "", one_look);
+        const Reply reply = ask_once(io, at, path, "", one_look);
         Json state = Json::parse(reply.body, nullptr, false);
         if (reply.status != 200 || !state.is_object()) continue;
         if (state["leader"] == state["steward"]) return state;
@@ -110,7 +112,7 @@
     // The one that leads may not be among those that were named.
     if (found.is_object())
         if (const auto leader = read_host_port(found["leader_at"].get<std::string>())) {
-            const Reply reply = ask_once(io, *leader, "/fleet/status", "", one_look);
+            const Reply reply = ask_once(io, *leader, path, "", one_look);
             Json state = Json::parse(reply.body, nullptr, false);
             if (reply.status == 200 && state.is_object()) return state;
         }
@@ -182,9 +184,13 @@
 }
 
 int show(const Asked& asked) {
-    const Json s = state_of(stewards_of(asked));
+    const Json s = state_of(stewards_of(asked), asked.all);
     if (!s.is_object()) return told({}, "-");
     if (asked.json) return std::printf("%s\n", s.dump().c_str()) < 0;
+    if (!s.contains("nodes_counted")) {
+        std::fprintf(stderr, "tealcart: the steward is of an earlier version; --json shows what it says\n");
+        return unreached;
+    }
     const auto number = [](const Json& j) { return static_cast<unsigned long long>(j.get<std::uint64_t>()); };
     std::printf("fleet %s, generation %llu, by steward %llu; ", s["fleet"].get<std::string>().c_str(),
                 number(s["generation"]), number(s["steward"]));
@@ -197,18 +203,34 @@
         std::printf("agreement was interrupted: nothing is granted for another %.1f s\n",
                     s["held_for_ms"].get<double>() / 1000);
     if (s["discovery_silent_ms"] > 0) std::printf("DISCOVERY IS SILENT: all data nodes count as out\n");
-    std::size_t nodes_out = 0, members_out = 0, routers = 0;
-    for (const Json& n : s["nodes"]) nodes_out += n["counts_as_out"].get<bool>();
-    for (const Json& m : s["members"]) {
-        routers += m["role"] == "router";
-        members_out +=
-            m["role"] == "router" && (m["out"].get<bool>() || m["lost"].get<bool>() || m["left"].get<bool>());
-    }
-    std::printf("data nodes: %zu of %zu count as out; routers: %zu of %zu\n", nodes_out, s["nodes"].size(),
-                members_out, routers);
+    const Json& nodes = s["nodes_counted"];
+    const Json& routers = s["routers_counted"];
+    std::printf("data nodes: %llu of %llu count as out; routers: %llu of %llu\n", number(nodes["out"]),
+                number(nodes["all"]), number(routers["out"]), number(routers["all"]));
     if (!s["requests"].empty()) std::printf("\nrequests\n");
     for (const Json& r : s["requests"]) print_request(r);
-    std::printf("\nmembers\n");
+    const auto left_out = [&](const Json& listed) {
+        if (number(listed["exceptions_left_out"]) > 0)
+            std::printf("  and %llu more: fleet status --all\n", number(listed["exceptions_left_out"]));
+    };
+    if (s["members_listed"]["listed"] == "all") {
+        std::printf("\nmembers\n");
+    } else {
+        std::printf("\nby zone, out of all\n");
+        std::set<std::string> zones;
+        for (const Json* counted : {&nodes, &routers})
+            for (const auto& [zone, of] : (*counted)["zones"].items()) zones.insert(zone);
+        const auto share = [&](const Json& counted, const std::string& zone, const char* of) {
+            const Json& by_zone = counted["zones"];
+            return by_zone.contains(zone) ? number(by_zone[zone][of]) : 0ULL;
+        };
+        for (const std::string& zone : zones)
+            std::printf("  %-16s data nodes %llu of %llu, routers %llu of %llu\n", zone.c_str(),
+                        share(nodes, zone, "out"), share(nodes, zone, "all"), share(routers, zone, "out"),
+                        share(routers, zone, "all"));
+        std::printf("\nmembers that are out, lost, or do not act on generation %llu yet\n",
+                    number(s["generation"]));
+    }
     for (const Json& m : s["members"]) {
         const double left = m["lease_left_ms"].get<double>() / 1000;
         char lease[32];
@@ -222,12 +244,14 @@
                                             : lease,
                     m["out"].get<bool>() ? ", out by agreement" : "");
     }
+    left_out(s["members_listed"]);
     std::printf("\ndata nodes that count as out\n");
     for (const Json& n : s["nodes"])
         if (n["counts_as_out"].get<bool>())
             std::printf("  %-16s zone %-8s %s%s\n", n["name"].get<std::string>().c_str(),
                         n["zone"].get<std::string>().c_str(), n["health"].get<std::string>().c_str(),
                         n["out"].get<bool>() ? ", out by agreement" : "");
+    left_out(s["nodes_listed"]);
     return good;
 }
 
@@ -276,6 +300,7 @@
     fleet->require_subcommand(1);
     CLI::App* status = of(fleet, "status", "what is agreed, who is out, and what holds requests back");
     status->add_flag("--json", asked.json, "as JSON");
+    status->add_flag("--all", asked.all, "list all, also of a great fleet");
     CLI::App* forget = of(fleet, "forget", "a router that is lost and will not come back counts no more");
     forget->add_option("NAME", asked.name, "the member")->required();
     CLI::App* add = of(fleet, "steward-add", "a steward joins; see docs/fleet.md for the order");
--- a/src/steward/node_view.cpp
+++ b/src/steward/node_view.cpp
@@ -1,5 +1,8 @@
 #include "steward/node_view.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace tealcart::steward {
 namespace {
 
@@ -9,9 +12,16 @@
 }  // namespace
 
 void NodeView::take(const TargetList& list, Nanos now) {
-    if (list.whole) nodes_.clear();
+    if (list.whole) {
+        nodes_.clear();
+        cold_ends_.clear();
+        look_at_all();
+    }
     heard_at_ = now;
     for (const ListedNode& node : list.nodes) {
+        look_at(node.id);
+        if (const auto it = nodes_.find(node.id); it != nodes_.end())
+            cold_ends_.erase({it->second.started_at + cold_, node.id});
         if (node.availability == Availability::gone)
             nodes_.erase(node.id);
         else
@@ -19,15 +29,29 @@
     }
 }
 
+// A steward that does not lead takes nothing out of the list: it is not to grow by names that are long gone.
+void NodeView::look_at(const std::string& name) {
+    if (all_) return;
+    look_at_.insert(name);
+    if (look_at_.size() > nodes_.size() + 1000) all_ = true;
+}
+
+void NodeView::agreed(const fleet::NodesSeen& seen) {
+    if (seen.whole) return look_at_all();
+    for (const auto& [name, node] : seen.nodes) look_at(name);
+    for (const std::string& name : seen.gone) look_at(name);
+}
+
 bool NodeView::stale(Nanos now) const { return heard_at_ > 0 && now - heard_at_ > stale_after; }
 
 fleet::Node NodeView::node_of(const ListedNode& listed, Nanos now) const {
     fleet::Node node{listed.zone, listed.kind, {}, fleet::Health::whole, listed.started_at};
     // Shard s lies at places (s + j) mod all, for j below the width.
-    for (int s = 0; s < shards_; ++s) {
-        const int ahead = ((static_cast<int>(listed.place) - s) % places_ + places_) % places_;
-        if (ahead < width_) node.shards.push_back(static_cast<std::uint32_t>(s));
-    }
+    const int place = static_cast<int>(listed.place);
+    for (int j = 0; j < std::min(width_, places_); ++j)
+        for (int s = ((place - j) % places_ + places_) % places_; s < shards_; s += places_)
+            node.shards.push_back(static_cast<std::uint32_t>(s));
+    std::sort(node.shards.begin(), node.shards.end());
     if (stale(now))
         node.health = fleet::Health::unknown;
     else if (listed.availability == Availability::draining)
@@ -37,17 +61,38 @@
     return node;
 }
 
-std::optional<fleet::NodesSeen> NodeView::news(const fleet::FleetState& state, Nanos now) const {
+std::optional<fleet::NodesSeen> NodeView::news(const fleet::FleetState& state, Nanos now) {
+    looked_at_ = 0;
     if (heard_at_ == 0) return std::nullopt;
+    if (stale(now) != was_stale_) {
+        was_stale_ = !was_stale_;
+        look_at_all();
+    }
+    if (std::exchange(all_, false)) {
+        look_at_.clear();
+        for (const auto& [name, listed] : nodes_) look_at_.insert(name);
+        for (const auto& [name, node] : state.nodes()) look_at_.insert(name);
+    }
+    while (!cold_ends_.empty() && cold_ends_.begin()->first <= now)
+        look_at_.insert(std::move(cold_ends_.extract(cold_ends_.begin()).value().second));
     fleet::NodesSeen news{{}, false, {}};
-    for (const auto& [name, listed] : nodes_) {
+    for (auto it = look_at_.begin(); it != look_at_.end();) {
+        ++looked_at_;
+        const std::string& name = *it;
         const auto known = state.nodes().find(name);
-        fleet::Node node = node_of(listed, now);
-        if (known == state.nodes().end() || !(known->second == node))
-            news.nodes.emplace(name, std::move(node));
+        bool same = true;
+        if (const auto listed = nodes_.find(name); listed == nodes_.end()) {
+            same = known == state.nodes().end() || known->second.health == fleet::Health::gone;
+            if (!same) news.gone.insert(name);
+        } else {
+            fleet::Node node = node_of(listed->second, now);
+            if (node.health == fleet::Health::cold) cold_ends_.emplace(node.started_at + cold_, name);
+            same = known != state.nodes().end() && known->second == node;
+            if (!same) news.nodes.emplace(name, std::move(node));
+        }
+        // What is not agreed yet is looked at again: it may not come to be agreed.
+        it = same ? look_at_.erase(it) : std::next(it);
     }
-    for (const auto& [name, node] : state.nodes())
-        if (!nodes_.contains(name) && node.health != fleet::Health::gone) news.gone.insert(name);
     if (news.nodes.empty() && news.gone.empty()) return std::nullopt;
     return news;
 }
--- a/src/steward/node_view.hpp
+++ b/src/steward/node_view.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "fleet/fleet_state.hpp"
@@ -18,18 +19,29 @@
         : places_(terms.places), width_(terms.width), shards_(terms.shards), cold_(terms.cold) {}
 
     void take(const TargetList& list, Nanos now);
-    // What differs from the agreed state now; nothing before discovery has spoken.
-    std::optional<fleet::NodesSeen> news(const fleet::FleetState& state, Nanos now) const;
+    // What differs from the agreed state now; nothing before discovery has spoken. Looks at nodes that were
+    // told of by discovery or in the log since they were last the same, that are warm now, or at all.
+    std::optional<fleet::NodesSeen> news(const fleet::FleetState& state, Nanos now);
+    // This was agreed, whoever proposed it.
+    void agreed(const fleet::NodesSeen& seen);
+    // The agreed state is another, or this steward begins to lead.
+    void look_at_all() { all_ = true; }
+    std::size_t looked_at() const { return looked_at_; }  // nodes, by the last call for news
     // Discovery has been silent for so long that nothing is known of any node.
     bool stale(Nanos now) const;
 
   private:
     fleet::Node node_of(const ListedNode& listed, Nanos now) const;
+    void look_at(const std::string& name);
 
     const int places_, width_, shards_;
     const Nanos cold_;
     std::map<std::string, ListedNode> nodes_;
     Nanos heard_at_ = 0;  // 0: never
+    std::set<std::string> look_at_;
+    std::set<std::pair<Nanos, std::string>> cold_ends_;  // when a node that is agreed to be cold is warm
+    bool all_ = true, was_stale_ = false;
+    std::size_t looked_at_ = 0;
 };
 
 }  // namespace tealcart::steward
--- a/src/steward/requests.cpp
+++ b/src/steward/requests.cpp
@@ -85,7 +85,7 @@
     return Json{{"effects", list}}.dump();
 }
 
-std::string write_status(const fleet::FleetState& state, const StewardFigures& figures) {
+std::string write_status(const fleet::FleetState& state, const StewardFigures& figures, bool all) {
     Json out = {{"fleet", figures.fleet},
                 {"steward", figures.id},
                 {"leader", figures.leader},
@@ -105,27 +105,58 @@
         one["unheard"] = r.unheard;
         requests.push_back(std::move(one));
     }
-    for (const auto& [name, m] : state.members())
-        members.push_back({{"name", name},
-                           {"role", m.role == fleet::Role::router ? "router" : "control"},
-                           {"zone", m.zone},
-                           {"version", m.version},
-                           {"digest", m.digest},
-                           {"life", m.life},
-                           {"acts_on", m.word.acts_on},
-                           {"lease_left_ms", (m.lease_until - state.now()) / ms},
-                           {"lost", m.lost},
-                           {"left", m.left},
-                           {"out", state.out(true, name)},
-                           {"queries", m.word.queries},
-                           {"failed", m.word.failed}});
-    for (const auto& [name, n] : state.nodes())
-        nodes.push_back({{"name", name},
-                         {"zone", n.zone},
-                         {"kind", n.kind},
-                         {"health", word_of(n.health)},
-                         {"out", state.out(false, name)},
-                         {"counts_as_out", state.counts_as_out(false, name)}});
+    // All of a list, or those that are not as they should be.
+    const auto list = [&](const auto& from, Json& to, const auto& exception, const auto& write) {
+        const bool each = all || from.size() <= most_listed_whole;
+        std::size_t left_out = 0;
+        for (const auto& [name, one] : from) {
+            if (!each && !exception(name, one)) continue;
+            if (!each && to.size() >= most_exceptions)
+                ++left_out;
+            else
+                to.push_back(write(name, one));
+        }
+        return Json{{"listed", each ? "all" : "exceptions"}, {"exceptions_left_out", left_out}};
+    };
+    const auto member_exception = [&](const std::string& name, const fleet::Member& m) {
+        return m.lost || m.left || m.word.acts_on != state.generation() || state.out(true, name);
+    };
+    const auto write_member = [&](const std::string& name, const fleet::Member& m) {
+        return Json({{"name", name},
+                     {"role", m.role == fleet::Role::router ? "router" : "control"},
+                     {"zone", m.zone},
+                     {"version", m.version},
+                     {"digest", m.digest},
+                     {"life", m.life},
+                     {"acts_on", m.word.acts_on},
+                     {"lease_left_ms", (m.lease_until - state.now()) / ms},
+                     {"lost", m.lost},
+                     {"left", m.left},
+                     {"out", state.out(true, name)},
+                     {"queries", m.word.queries},
+                     {"failed", m.word.failed}});
+    };
+    const auto node_exception = [&](const std::string& name, const fleet::Node&) {
+        return state.counts_as_out(false, name);
+    };
+    const auto write_node = [&](const std::string& name, const fleet::Node& n) {
+        return Json({{"name", name},
+                     {"zone", n.zone},
+                     {"kind", n.kind},
+                     {"health", word_of(n.health)},
+                     {"out", state.out(false, name)},
+                     {"counts_as_out", state.counts_as_out(false, name)}});
+    };
+    const auto counts_of = [](const fleet::Counts::Share& share, const auto& zones) {
+        Json by_zone = Json::object();
+        for (const auto& [zone, s] : zones) by_zone[zone] = {{"all", s.all}, {"out", s.out}};
+        return Json{{"all", share.all}, {"out", share.out}, {"zones", std::move(by_zone)}};
+    };
+    const fleet::Counts& counts = state.counts();
+    out["members_listed"] = list(state.members(), members, member_exception, write_member);
+    out["nodes_listed"] = list(state.nodes(), nodes, node_exception, write_node);
+    out["routers_counted"] = counts_of(counts.routers, counts.router_zones);
+    out["nodes_counted"] = counts_of(counts.nodes, counts.node_zones);
     out["requests"] = std::move(requests);
     out["members"] = std::move(members);
     out["nodes"] = std::move(nodes);
--- a/src/steward/requests.hpp
+++ b/src/steward/requests.hpp
@@ -28,8 +28,10 @@
     Nanos discovery_silent = 0;
 };
 
-// The whole agreed state for people and tools.
-std::string write_status(const fleet::FleetState& state, const StewardFigures& figures);
+// The agreed state for people and tools. Of over `most_listed_whole` data nodes, or members, only those are
+// listed that are not as they should be, and `most_exceptions` of them at most; all are counted, by zone.
+constexpr std::size_t most_listed_whole = 200, most_exceptions = 1000;
+std::string write_status(const fleet::FleetState& state, const StewardFigures& figures, bool all);
 std::string write_effects(const std::vector<fleet::Effect>& effects);
 
 const char* word_of(fleet::Effect::Kind kind);
--- a/src/steward/steward.cpp
+++ b/src/steward/steward.cpp
@@ -102,7 +102,7 @@
                                      leader_address(),
                                      waiting_.size(),
                                      view_.stale(time_.now()) ? 45 * second : 0};
-        return front_.answer(client, {200, write_status(state_, figures), 0});
+        return front_.answer(client, {200, write_status(state_, figures, request.query == "all=1"), 0});
     }
     constexpr std::string_view before = "/fleet/";
     if (path.substr(0, before.size()) != before) return refuse(client, 404, "no such path");
@@ -202,13 +202,12 @@
                 {call->id + "/" + (t.router ? "router/" : "node/") + t.name, 0, fleet::Ask{call->asker, t}});
     } else if (what == "undo") {
         std::vector<std::uint64_t> requests = call->requests;
+        const std::set<fleet::Target> targets(call->targets.begin(), call->targets.end());
         for (const auto& [id, r] : state_.requests()) {
             const auto node = r.target.router ? state_.nodes().end() : state_.nodes().find(r.target.name);
             const bool of_zone =
                 !call->zone.empty() && node != state_.nodes().end() && node->second.zone == call->zone;
-            if (of_zone ||
-                std::find(call->targets.begin(), call->targets.end(), r.target) != call->targets.end())
-                requests.push_back(id);
+            if (of_zone || targets.contains(r.target)) requests.push_back(id);
         }
         if (requests.empty()) return refuse(client, 404, "no request for it is open");
         for (const std::uint64_t id : requests)
@@ -267,6 +266,7 @@
 void Steward::apply(const std::uint8_t* bytes, std::size_t size) {
     const fleet::Command command = fleet::read_command(bytes, size);
     last_effects_ = state_.apply(command);
+    if (const auto* seen = std::get_if<fleet::NodesSeen>(&command.what)) view_.agreed(*seen);
     for (const fleet::Effect& e : last_effects_)
         log_line("%s: request %llu fence %llu generation %llu %s%s%s", word_of(e.kind),
                  static_cast<unsigned long long>(e.request), static_cast<unsigned long long>(e.fence),
@@ -281,7 +281,8 @@
     if (std::exchange(led_by_, leader) != leader)
         log_line(leader == 0 ? "no steward leads" : "steward %llu leads",
                  static_cast<unsigned long long>(leader));
-    if (!raft_.leads()) return;
+    if (std::exchange(leads_, raft_.leads()) != raft_.leads()) view_.look_at_all();
+    if (!leads_) return;
     const Nanos now = time_.now();
     const auto nothing = [](bool, auto) {};
     if (now - view_at_ >= view_every && !proposing_view_) {
--- a/src/steward/steward.hpp
+++ b/src/steward/steward.hpp
@@ -46,7 +46,10 @@
     void on_due(Handle who, std::uint64_t what) override;
     void apply(const std::uint8_t* bytes, std::size_t size) override;
     std::vector<std::uint8_t> save() const override { return state_.save(); }
-    void load(const std::vector<std::uint8_t>& bytes) override { state_.load(bytes); }
+    void load(const std::vector<std::uint8_t>& bytes) override {
+        state_.load(bytes);
+        view_.look_at_all();
+    }
 
     void on_member(Handle client, const std::string& body);
     void on_operator(Handle client, std::string_view what, const std::string& body);
@@ -79,7 +82,7 @@
     std::vector<fleet::Effect> last_effects_;
     std::uint64_t told_generation_ = 0, led_by_ = 0;
     Nanos timer_at_ = Deadlines::never, proposed_at_ = 0, stop_began_ = 0, view_at_ = 0;
-    bool changing_ = false, proposing_view_ = false;
+    bool changing_ = false, proposing_view_ = false, leads_ = false;
 };
 
 }  // namespace tealcart::steward
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -98,7 +98,9 @@
   private:
     void on_request_impl(http::verb, string_view method, string_view target, int, error_code&) override {
         request.method = to_string(method);
-        request.path = to_string(target.substr(0, target.find('?')));
+        const auto mark = target.find('?');
+        request.path = to_string(target.substr(0, mark));
+        request.query = mark == string_view::npos ? std::string() : to_string(target.substr(mark + 1));
     }
     void on_field_impl(http::field name, string_view text, string_view value, error_code& ec) override {
         Gatherer::on_field_impl(name, text, value, ec);
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -1,6 +1,7 @@
 // A router's side of a fleet's agreement: its lease, discovery's list joined with what is agreed, what it
 // reports, what it and the stewards say; and the stewards' file and view of the data nodes.
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <random>
 
 #include "members/agreed_list.hpp"
@@ -280,3 +281,138 @@
     REQUIRE(news);
     CHECK(news->nodes.at("n2").health == fleet::Health::unknown);
 }
+
+TEST_CASE("the stewards' view looks at what changed, and finds what a look at all nodes finds") {
+    using namespace tealcart::steward;
+    const auto seed = GENERATE(range(1U, 9U));
+    std::knuth_b chance(seed);
+    const auto pick = [&](int n) { return static_cast<int>(chance() % static_cast<unsigned>(n)); };
+    Terms terms;
+    terms.places = 5, terms.width = 2, terms.shards = 13, terms.cold = 10 * second;
+    const auto name_of = [](int n) { return "n" + std::to_string(n); };
+    NodeView view(terms);
+    fleet::FleetState state({});
+    std::map<std::string, ListedNode> all;
+    Nanos now = 1000 * second, heard = 0;
+    int differing = 0, unknown = 0, cold = 0;
+    for (int i = 0; i < 2000; ++i) {
+        now += pick(3) * second / 4;
+        if (pick(100) == 0) now += 60 * second;  // discovery is silent
+        if (pick(3) > 0) {
+            TargetList list{static_cast<std::uint64_t>(i), pick(100) == 0, {}, 0};
+            const std::string name = name_of(pick(30));
+            ListedNode one = listed(name, static_cast<Availability>(pick(3)), std::uint32_t(pick(5)));
+            one.started_at = pick(2) == 0 ? now - pick(12) * second : 0;
+            if (list.whole) {
+                std::erase_if(all, [&](const auto&) { return pick(4) == 0; });
+                for (const auto& [id, node] : all) list.nodes.push_back(node);
+            }
+            list.nodes.push_back(one);
+            if (one.availability == Availability::gone)
+                all.erase(name);
+            else
+                all[name] = one;
+            view.take(list, heard = now);
+        }
+        // Another that led: its last entry is agreed after this one has begun to look.
+        if (pick(50) == 0) {
+            fleet::NodesSeen other{{}, pick(4) == 0, {name_of(pick(30))}};
+            other.nodes[name_of(pick(30))] = {"b", "k", {1}, fleet::Health::draining, 0};
+            state.apply({"", now, other});
+            view.agreed(other);
+        }
+        if (pick(30) == 0) state.apply({"", now, fleet::Ask{"ann", {false, name_of(pick(30))}}});
+        if (heard == 0 || pick(4) == 0) continue;  // another steward leads
+        NodeView anew(terms);
+        TargetList whole{1, true, {}, 0};
+        for (const auto& [id, node] : all) whole.nodes.push_back(node);
+        anew.take(whole, heard);
+        const auto slow = anew.news(state, now);
+        const auto news = view.news(state, now);
+        REQUIRE(news.has_value() == slow.has_value());
+        if (!news) continue;
+        CHECK(news->nodes == slow->nodes);
+        CHECK(news->gone == slow->gone);
+        ++differing;
+        for (const auto& [id, node] : news->nodes)
+            unknown += node.health == fleet::Health::unknown, cold += node.health == fleet::Health::cold;
+        if (pick(5) == 0) continue;  // not agreed
+        state.apply({"", now, *news});
+        if (pick(2) == 0) view.agreed(*news);
+    }
+    CHECK(std::min({differing, unknown, cold}) > 20);
+}
+
+TEST_CASE("one node's news costs the stewards' view a look at one node") {
+    using namespace tealcart::steward;
+    Terms terms;
+    terms.places = 100, terms.width = 2, terms.shards = 200, terms.cold = 10 * second;
+    NodeView view(terms);
+    fleet::FleetState state({});
+    Nanos now = 1000 * second;
+    TargetList list{1, true, {}, 0};
+    for (std::uint32_t n = 0; n < 1000; ++n)
+        list.nodes.push_back(listed("n" + std::to_string(n), Availability::ready, n % 100));
+    const auto agree = [&] {
+        if (auto news = view.news(state, now)) state.apply({"", now, *news}), view.agreed(*news);
+        return view.looked_at();
+    };
+    view.take(list, now);
+    CHECK(agree() == 1000);
+    CHECK(agree() == 1000);  // and are found to be agreed
+    CHECK(agree() == 0);
+    ListedNode fresh = listed("n7", Availability::ready, 7);
+    fresh.started_at = now;
+    view.take({2, false, {fresh}, 0}, now);
+    CHECK(agree() == 1);
+    CHECK(state.nodes().at("n7").health == fleet::Health::cold);
+    CHECK(agree() == 1);
+    CHECK(agree() == 0);
+    now += 10 * second;
+    CHECK(agree() == 1);
+    CHECK(state.nodes().at("n7").health == fleet::Health::whole);
+    CHECK((agree(), agree()) == 0);
+    view.look_at_all();
+    CHECK(agree() == 1000);
+    CHECK(agree() == 0);
+    now += 60 * second;  // silence
+    CHECK(agree() == 1000);
+    CHECK(state.nodes().at("n8").health == fleet::Health::unknown);
+}
+
+TEST_CASE("the status of a great fleet lists what is not as it should be, and counts all by zone") {
+    using namespace tealcart::steward;
+    fleet::FleetState state({});
+    const Nanos now = 1000 * second;
+    const int nodes = GENERATE(200, 201, 2000);
+    fleet::NodesSeen seen;
+    for (int n = 0; n < nodes; ++n)
+        seen.nodes["n" + std::to_string(n)] = {n % 2 == 0 ? "a" : "b", "k", {}, fleet::Health::whole, 0};
+    seen.nodes["n3"].health = fleet::Health::cold;
+    state.apply({"", now, seen});
+    fleet::Words words;
+    for (int r = 0; r < nodes; ++r)
+        words.joins.push_back({"r" + std::to_string(r), fleet::Role::router, "a", "1", "d", 1, 0});
+    state.apply({"", now, words});
+    const auto status = [&](bool all) { return nlohmann::json::parse(write_status(state, {}, all)); };
+    const bool great = nodes > 200;
+    auto s = status(false);
+    CHECK(s["nodes"].size() == (great ? 1U : 200U));
+    CHECK(s["members"].size() == (great ? 0U : 200U));
+    CHECK(s["nodes_listed"]["listed"] == (great ? "exceptions" : "all"));
+    CHECK(s["nodes_counted"]["all"] == nodes);
+    CHECK(s["nodes_counted"]["out"] == 1);
+    CHECK(s["nodes_counted"]["zones"]["b"]["out"] == 1);
+    CHECK(s["nodes_counted"]["zones"]["a"]["all"] == (nodes + 1) / 2);
+    CHECK(s["routers_counted"]["all"] == nodes);
+    CHECK(status(true)["nodes"].size() == static_cast<std::size_t>(nodes));
+    CHECK(status(true)["members_listed"]["listed"] == "all");
+    // What is granted makes every member one that does not act on the latest yet; no more than 1000 are
+    // listed.
+    state.apply({"", now, fleet::Ask{"ann", {false, "n0"}}});
+    s = status(false);
+    CHECK(s["members"].size() == std::min<std::size_t>(1000, words.joins.size()));
+    CHECK(s["members_listed"]["exceptions_left_out"] == std::max(0, nodes - 1000));
+    CHECK(s["nodes"][0]["name"] == "n0");
+    CHECK(s["nodes"][0]["out"] == true);
+}
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -48,6 +48,8 @@
     }
     REQUIRE(read.size() == 2);
     CHECK(read[0].path == "/part/x");
+    CHECK(read[0].query == "y=1");
+    CHECK(read[1].query.empty());
     CHECK(read[0].id == "a1");  // what comes behind the body counts nothing
     CHECK(read[0].deadline == "480");
     CHECK(read[0].retry);
