Wire of changes: codecs, and one watch by POST under the stewards' and the changes' one

Cause: followers and relays of a fleet's configuration speak a watch by version, which needs the same connection, backoff, 409 and 421 as the members' watch. Change: src/wire/change_words.cpp (bounded, nothing throws on what a peer sends), PostWatch taken out of StewardWatch unchanged but for an optional jitter, ChangeWatch on it; tests of round trips, bounds and noise.

--- /dev/null
+++ b/src/wire/change_watch.hpp
@@ -0,0 +1,57 @@
+// A follower's calls to the relays, or a relay's to the stewards: a watch by version, on PostWatch.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wire/change_words.hpp"
+#include "wire/post_watch.hpp"
+
+namespace tealcart {
+
+class ChangeTaker {
+  public:
+    virtual ~ChangeTaker() = default;
+    // What is to be said now: write_follower_call or write_relay_call, and its `wait`.
+    virtual PostTaker::Call change_call() = 0;
+    // The call that was sent at `sent` was answered. ChangeWatch::next is to be called once the news is acted
+    // on.
+    virtual void on_changes(Nanos sent, const ChangesAnswer& answer) = 0;
+    // A later life of this name is known. The call is made again by itself.
+    virtual void on_later_life(std::uint64_t last_life) = 0;
+};
+
+class ChangeWatch final : private PostTaker {
+  public:
+    // `path`: follower_path or relay_path. `whom`: "relay" or "steward", for the log. Begins at the address
+    // of this place, so that followers spread over the relays; `seed`: of the jitter in its pauses.
+    ChangeWatch(boost::asio::io_context& io, Timekeeper& time, ChangeTaker& taker, std::string_view path,
+                std::string_view whom, std::vector<HostPort> addresses, std::size_t first,
+                std::uint64_t seed);
+
+    void start() { watch_.start(); }
+    void stop() { watch_.stop(); }
+    // The next call, after an answer.
+    void next() { watch_.next(); }
+    // Whatever is out is dropped, and a call made anew: something has to be said at once.
+    void say_now() { watch_.say_now(); }
+    // A call is out, and its answer is waited for: only then is say_now no more than one call.
+    bool waits() const { return watch_.waits(); }
+    const HostPort& address() const { return watch_.address(); }
+
+  private:
+    Call call() override { return taker_.change_call(); }
+    bool read(std::string_view body) override;
+    void answered(Nanos sent) override;
+    void outlived(std::uint64_t last_life) override { taker_.on_later_life(last_life); }
+    void silent(const char* why) override;
+    void heard_again() override;
+
+    ChangeTaker& taker_;
+    const std::string whom_;
+    PostWatch watch_;
+    ChangesAnswer answer_;
+};
+
+}  // namespace tealcart
--- a/src/wire/steward_watch.cpp
+++ b/src/wire/steward_watch.cpp
@@ -1,153 +1,37 @@
 #include "wire/steward_watch.hpp"
 
-#include <algorithm>
-#include <boost/asio/write.hpp>
-
 #include "service/log.hpp"
 
 namespace tealcart {
-namespace {
-
-using boost::asio::ip::tcp;
-using boost::system::error_code;
-
-constexpr Nanos ms = 1'000'000;
-constexpr Nanos late = 1000 * ms;  // an answer may be as late as this before its connection is given up
-constexpr Nanos connect_within = 500 * ms;
-constexpr Nanos again_after = 50 * ms;   // the first time; twice as long after each further failure ...
-constexpr Nanos again_most = 1600 * ms;  // ... up to this
-constexpr std::size_t longest_answer = 8 * 1024 * 1024;
-enum Due : std::uint64_t { silent, again };
-
-}  // namespace
-
-StewardWatch::Connection::Connection(boost::asio::io_context& io) : socket(io), reader(longest_answer) {}
 
 StewardWatch::StewardWatch(boost::asio::io_context& io, Timekeeper& time, StewardTaker& taker,
                            std::vector<HostPort> stewards)
-    : io_(io), time_(time), taker_(taker), stewards_(std::move(stewards)) {}
-
-void StewardWatch::end() {
-    error_code ec;
-    if (connection_) connection_->socket.close(ec);
-    connection_.reset();
-}
-
-void StewardWatch::stop() {
-    time_.due.drop(due_);
-    end();
-}
-
-void StewardWatch::connect() {
-    owes_next_ = false;
-    end();
-    connection_ = std::make_shared<Connection>(io_);
-    error_code ec;
-    const auto host = boost::asio::ip::make_address(stewards_[at_].host, ec);
-    if (ec) return give_up("its address is no number");
-    time_.due.move(due_, time_.now() + connect_within, *this, Handle{}, silent);
-    connection_->socket.async_connect({host, stewards_[at_].port},
-                                      [this, c = connection_](const error_code& e) {
-                                          if (c != connection_) return;
-                                          if (e) return give_up(e.message().c_str());
-                                          error_code ignored;
-                                          c->socket.set_option(tcp::no_delay(true), ignored);
-                                          ask();
-                                      });
-}
+    : taker_(taker), watch_(io, time, *this, member_path, std::move(stewards)) {}
 
-void StewardWatch::ask() {
+PostTaker::Call StewardWatch::call() {
     const MemberCall call = taker_.word();
-    const std::string body = write_member_call(call);
-    connection_->out =
-        "POST " + std::string(member_path) + " HTTP/1.1\r\nHost: " + stewards_[at_].host +
-        "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-        body;
-    wait_ = call.wait;
-    sent_at_ = time_.now();  // before it is written: the lease counts from here
-    time_.due.move(due_, sent_at_ + wait_ + late, *this, Handle{}, silent);
-    boost::asio::async_write(connection_->socket, boost::asio::buffer(connection_->out),
-                             [this, c = connection_](const error_code& e, std::size_t) {
-                                 if (e && c == connection_) give_up(e.message().c_str());
-                             });
-    read(connection_);
-}
-
-void StewardWatch::read(const Life& life) {
-    life->socket.async_read_some(boost::asio::buffer(life->buffer),
-                                 [this, c = life](const error_code& e, std::size_t n) {
-                                     if (c != connection_) return;
-                                     if (e) return give_up(e.message().c_str());
-                                     c->in.append(c->buffer.data(), n);
-                                     take_answer(c);
-                                 });
-}
-
-void StewardWatch::take_answer(const Life& c) {
-    AnswerReader& reader = c->reader;
-    const Reading reading = reader.feed(c->in);
-    if (reading == Reading::more) return read(c);
-    if (reading == Reading::bad) return give_up("its answer can't be read");
-    if (reader.status() == 421) {
-        // Only to one that the operators' file names.
-        const auto leader = read_elsewhere(reader.body());
-        const auto address = leader ? read_host_port(*leader) : std::nullopt;
-        const auto found = std::find(stewards_.begin(), stewards_.end(), address.value_or(HostPort{}));
-        if (!address || found == stewards_.end()) return give_up("it does not lead, and names nobody known");
-        const Nanos pause = failed_++ == 0 ? 0 : again_after;
-        return go_to(static_cast<std::size_t>(found - stewards_.begin()), pause);
-    }
-    if (reader.status() == 409) {
-        const auto life = read_outlived(reader.body());
-        if (!life) return give_up("its answer can't be read");
-        taker_.on_outlived(*life);
-        return go_to(at_, again_after << std::min(failed_++, 5));
-    }
-    const auto answer = reader.status() == 200 ? read_member_answer(reader.body()) : std::nullopt;
-    if (!answer) return give_up(reader.status() == 200 ? "its answer can't be read" : "it can't agree now");
-    if (told_silent_)
-        log_line("the stewards answer again, generation %llu",
-                 static_cast<unsigned long long>(answer->generation));
-    told_silent_ = false;
-    failed_ = 0;
-    time_.due.drop(due_);
-    const bool kept = reader.keep_alive();
-    const Nanos sent = sent_at_;
-    reader.next();
-    if (!kept) end();
-    owes_next_ = true;
-    taker_.on_agreed(sent, *answer);
+    return {write_member_call(call), call.wait};
 }
 
-void StewardWatch::next() {
-    if (!std::exchange(owes_next_, false)) return;
-    if (connection_)
-        ask();
-    else
-        connect();
+bool StewardWatch::read(std::string_view body) {
+    auto answer = read_member_answer(body);
+    if (answer) answer_ = std::move(*answer);
+    return answer.has_value();
 }
 
-void StewardWatch::say_now() { go_to(at_, 0); }
-
-void StewardWatch::give_up(const char* why) {
-    if (failed_ == static_cast<int>(stewards_.size()) && !std::exchange(told_silent_, true))
-        log_line("no steward answers (%s); what was agreed stands", why);
-    const Nanos pause = std::min(again_most, again_after << std::min(failed_, 6));
-    ++failed_;
-    go_to((at_ + 1) % stewards_.size(), pause);
+// A copy: it may be dropped, and another read, while it is acted on.
+void StewardWatch::answered(Nanos sent) {
+    const MemberAnswer answer = std::move(answer_);
+    taker_.on_agreed(sent, answer);
 }
 
-void StewardWatch::go_to(std::size_t steward, Nanos pause) {
-    end();
-    owes_next_ = false;
-    at_ = steward;
-    time_.due.move(due_, time_.now() + pause, *this, Handle{}, again);
+void StewardWatch::silent(const char* why) {
+    log_line("no steward answers (%s); what was agreed stands", why);
 }
 
-void StewardWatch::on_due(Handle, std::uint64_t what) {
-    due_ = Deadlines::none;
-    if (what == again) return connect();
-    give_up("silent for longer than a call may wait");
+void StewardWatch::heard_again() {
+    log_line("the stewards answer again, generation %llu",
+             static_cast<unsigned long long>(answer_.generation));
 }
 
 }  // namespace tealcart
--- a/src/wire/steward_watch.hpp
+++ b/src/wire/steward_watch.hpp
@@ -3,17 +3,11 @@
 // wait.
 #pragma once
 
-#include <array>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <memory>
-#include <string>
+#include <string_view>
 #include <vector>
 
-#include "tables/timekeeper.hpp"
-#include "terms/host_port.hpp"
-#include "wire/http.hpp"
 #include "wire/member_words.hpp"
+#include "wire/post_watch.hpp"
 
 namespace tealcart {
 
@@ -28,47 +22,29 @@
     virtual void on_outlived(std::uint64_t last_life) = 0;
 };
 
-class StewardWatch final : public DueHandler {
+class StewardWatch final : private PostTaker {
   public:
     StewardWatch(boost::asio::io_context& io, Timekeeper& time, StewardTaker& taker,
                  std::vector<HostPort> stewards);
 
-    void start() { connect(); }
-    void stop();
+    void start() { watch_.start(); }
+    void stop() { watch_.stop(); }
     // The next call, after an answer.
-    void next();
+    void next() { watch_.next(); }
     // Whatever is out is dropped, and a call made anew: something has to be said at once.
-    void say_now();
-    void on_due(Handle, std::uint64_t what) override;
+    void say_now() { watch_.say_now(); }
 
   private:
-    struct Connection {
-        explicit Connection(boost::asio::io_context& io);
-        boost::asio::ip::tcp::socket socket;
-        std::string out, in;
-        std::array<char, 4096> buffer;
-        AnswerReader reader;
-    };
-    using Life = std::shared_ptr<Connection>;
+    Call call() override;
+    bool read(std::string_view body) override;
+    void answered(Nanos sent) override;
+    void outlived(std::uint64_t last_life) override { taker_.on_outlived(last_life); }
+    void silent(const char* why) override;
+    void heard_again() override;
 
-    void connect();
-    void ask();
-    void read(const Life& c);
-    void take_answer(const Life& c);
-    void give_up(const char* why);
-    void go_to(std::size_t steward, Nanos pause);
-    void end();
-
-    boost::asio::io_context& io_;
-    Timekeeper& time_;
     StewardTaker& taker_;
-    const std::vector<HostPort> stewards_;
-    std::size_t at_ = 0;  // of the stewards
-    int failed_ = 0;      // calls in a row
-    Nanos sent_at_ = 0, wait_ = 0;
-    bool owes_next_ = false, told_silent_ = false;
-    Life connection_;
-    Deadlines::Ticket due_ = Deadlines::none;
+    PostWatch watch_;
+    MemberAnswer answer_;
 };
 
 }  // namespace tealcart
--- /dev/null
+++ b/tests/change_words_test.cpp
@@ -0,0 +1,179 @@
+// What is said of changes on the wire, on bytes alone: round trips, bounds, and noise refused with words.
+#include "wire/change_words.hpp"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace tealcart;
+
+namespace {
+
+constexpr Nanos ms = 1'000'000;
+
+FollowerCall follower() {
+    return {{"r1", 7, 1500 * ms, 41, 42, "line 3: \"x\" is not known"},
+            "a",
+            false,
+            {41, 0xffff'ffff'ffff'fffe, true, "k/1", 200 * ms}};
+}
+
+RelayCall relay() {
+    RelayCall call;
+    call.word = {"relay-a1",
+                 "a",
+                 9,
+                 3,
+                 {{"r1", 7, 1000 * ms, 41, 0, ""}, {"r2", 1, 0, 0, 0, ""}},
+                 {{"r3", 5}},
+                 {{"r4", 6}, {"r5", 8}},
+                 41,
+                 {{"r2", 1, 0, 0, 42, "no"}}};
+    call.watched = {42, 17, false, "", 1000 * ms};
+    return call;
+}
+
+void same(const Watched& a, const Watched& b) {
+    CHECK(a.knows == b.knows);
+    CHECK(a.digest == b.digest);
+    CHECK(a.wants_pages == b.wants_pages);
+    CHECK(a.after == b.after);
+    CHECK(a.wait == b.wait);
+}
+
+std::string wrong_of(const std::string& body) {
+    std::string wrong;
+    CHECK_FALSE(read_follower_call(body, wrong));
+    return wrong;
+}
+
+std::string wrong_of_relay(const std::string& body) {
+    std::string wrong;
+    CHECK_FALSE(read_relay_call(body, wrong));
+    return wrong;
+}
+
+}  // namespace
+
+TEST_CASE("a follower's call comes back as it was written") {
+    FollowerCall call = follower();
+    std::string wrong;
+    auto read = read_follower_call(write_follower_call(call), wrong);
+    REQUIRE(read);
+    CHECK(read->word == call.word);
+    CHECK(read->zone == "a");
+    CHECK_FALSE(read->leaves);
+    same(read->watched, call.watched);
+    call = {};
+    call.word.name = "r", call.word.life = 1, call.leaves = true;
+    call.watched.wants_pages = true;  // from the first key
+    read = read_follower_call(write_follower_call(call), wrong);
+    REQUIRE(read);
+    CHECK(read->leaves);
+    same(read->watched, call.watched);
+}
+
+TEST_CASE("a relay's call comes back as it was written") {
+    const RelayCall call = relay();
+    std::string wrong;
+    const auto read = read_relay_call(write_relay_call(call), wrong);
+    REQUIRE(read);
+    CHECK(read->word == call.word);
+    same(read->watched, call.watched);
+}
+
+TEST_CASE("an answer comes back as it was written, with a delta, a page or neither") {
+    ChangesAnswer a{43, 9000 * ms, 3, true, 1000 * ms, {}, {}};
+    auto read = read_changes_answer(write_changes_answer(a));
+    REQUIRE(read);
+    CHECK(read->version == 43);
+    CHECK(read->lease == 9000 * ms);
+    CHECK(read->taken == 3);
+    CHECK(read->say_all);
+    CHECK(read->drift == 1000 * ms);
+    CHECK_FALSE(read->delta);
+    CHECK_FALSE(read->page);
+    a.delta = changes::Delta{41, 43, {{"a/b", "1\n\u00fc"}, {"c", ""}}, {"d"}, 0xffff'ffff'ffff'ffff};
+    read = read_changes_answer(write_changes_answer(a));
+    REQUIRE(read);
+    CHECK(read->delta == a.delta);
+    a.delta.reset();
+    a.page = changes::Page{43, 5, "a", {{"b", "1"}}, true};
+    read = read_changes_answer(write_changes_answer(a));
+    REQUIRE(read);
+    CHECK(read->page == a.page);
+}
+
+TEST_CASE("what a refusal says is cut and never fails to be written") {
+    FollowerCall call = follower();
+    call.word.why = "\xff\xfe" + std::string(2000, 'x');
+    std::string wrong;
+    const auto read = read_follower_call(write_follower_call(call), wrong);
+    INFO(wrong);
+    REQUIRE(read);
+    CHECK(read->word.why.size() <= 512);
+}
+
+TEST_CASE("what is no call is refused with words") {
+    CHECK(wrong_of("") == "the body is no JSON object");
+    CHECK(wrong_of("[1]") == "the body is no JSON object");
+    CHECK(wrong_of("{") == "the body is no JSON object");
+    CHECK(wrong_of(R"({"life":1})") == "'name' is missing or malformed");
+    CHECK(wrong_of(R"({"name":"a b","life":1})") == "'name' is missing or malformed");
+    CHECK(wrong_of(R"({"name":")" + std::string(129, 'n') + R"(","life":1})") ==
+          "'name' is missing or malformed");
+    CHECK(wrong_of(R"({"name":"r"})") == "'life' is missing or no number above 0");
+    CHECK(wrong_of(R"({"name":"r","life":-1})") == "'life' is missing or no number above 0");
+    CHECK(wrong_of(R"({"name":"r","life":1,"acts_on":"2"})") == "'acts_on' or 'refused' is no number");
+    CHECK(wrong_of(R"({"name":"r","life":1,"serve_on_ms":31536000001})") ==
+          "'serve_on_ms' is no number of ms up to a year");
+    CHECK(wrong_of(R"({"name":"r","life":1,"why":")" + std::string(513, 'y') + R"("})") ==
+          "'why' is no text of up to 512 bytes");
+    CHECK(wrong_of(R"({"name":"r","life":1,"knows":1.5})") == "'knows' or 'digest' is no number");
+    CHECK(wrong_of(R"({"name":"r","life":1,"wait_ms":true})") == "'wait_ms' is no number of ms up to a year");
+    CHECK(wrong_of(R"({"name":"r","life":1,"pages_after":1})") == "'pages_after' is no key");
+    CHECK(wrong_of(R"({"name":"r","life":1,"zone":""})") == "'zone' is malformed");
+    CHECK(wrong_of(R"({"name":"r","life":1,"leaves":1})") == "'leaves' is no truth value");
+    CHECK(wrong_of_relay("null") == "the body is no JSON object");
+    CHECK(wrong_of_relay(R"({"life":1})") == "'relay' is missing or malformed");
+    CHECK(wrong_of_relay(R"({"relay":"a","life":1})") == "'number' is missing or no number above 0");
+    const std::string good = R"({"relay":"a","life":1,"number":1,)";
+    CHECK(wrong_of_relay(good + R"("joined":{}})") == "'joined' is malformed");
+    CHECK(wrong_of_relay(good + R"("joined":[{"name":"r"}]})") == "'joined' is malformed");
+    CHECK(wrong_of_relay(good + R"("left":[["r"]]})") == "'left' is malformed");
+    CHECK(wrong_of_relay(good + R"("lost":[["r","1"]]})") == "'lost' is malformed");
+    CHECK(wrong_of_relay(good + R"("exceptions":[1]})") == "'exceptions' is malformed");
+}
+
+TEST_CASE("what is no answer is not read") {
+    for (const char* body :
+         {"", "[]", R"({"version":1})", R"({"lease_ms":1})", R"({"version":-1,"lease_ms":1})",
+          R"({"version":1,"lease_ms":1,"say_all":1})", R"({"version":1,"lease_ms":1,"delta":[]})",
+          R"({"version":1,"lease_ms":1,"delta":{"from":2,"to":1}})",
+          R"({"version":1,"lease_ms":1,"delta":{"to":1,"set":{"a":1}}})",
+          R"({"version":1,"lease_ms":1,"delta":{"to":1,"set":{"":"1"}}})",
+          R"({"version":1,"lease_ms":1,"delta":{"to":1,"removed":[""]}})",
+          R"({"version":1,"lease_ms":1,"page":{"entries":[]}})",
+          R"({"version":1,"lease_ms":1,"page":{"last":1}})",
+          R"({"version":1,"lease_ms":1,"page":{},"delta":{}})"}) {
+        INFO(body);
+        CHECK_FALSE(read_changes_answer(body));
+    }
+}
+
+TEST_CASE("bytes that were changed at random never throw") {
+    std::mt19937 chance(11);
+    ChangesAnswer a{43, 9000 * ms, 3, true, 1000 * ms, {}, {}};
+    a.delta = changes::Delta{41, 43, {{"a/b", "1"}}, {"d"}, 5};
+    const std::string bodies[] = {write_follower_call(follower()), write_relay_call(relay()),
+                                  write_changes_answer(a)};
+    for (int i = 0; i < 6000; ++i) {
+        std::string body = bodies[i % 3];
+        for (int n = 0; n < 1 + i % 4; ++n) body[chance() % body.size()] = static_cast<char>(chance());
+        if (i % 5 == 0) body.resize(chance() % body.size());
+        std::string wrong;
+        if (!read_follower_call(body, wrong)) CHECK_FALSE(wrong.empty());
+        wrong.clear();
+        if (!read_relay_call(body, wrong)) CHECK_FALSE(wrong.empty());
+        read_changes_answer(body);
+    }
+}
