Changes on the wire: a relay's whole word; bodies beyond 64 KiB where the owner lets them in

Change: 'whole' in the codec; RequestReader and ClientFront take the longest body, 64 KiB as ever by default; accessors ChangeState::last_life and Gather::lease_left.

--- a/src/changes/change_state.cpp
+++ b/src/changes/change_state.cpp
@@ -557,6 +557,11 @@
     return it != relays_.end() && it->second.live && it->second.life == life ? it->second.number : 0;
 }
 
+std::uint64_t ChangeState::last_life(const std::string& relay) const {
+    const auto it = relays_.find(relay);
+    return it == relays_.end() ? 0 : it->second.life;
+}
+
 bool ChangeState::knows_later_life(const std::string& relay, std::uint64_t life) const {
     const auto it = relays_.find(relay);
     return it != relays_.end() && it->second.life > life;
--- a/src/changes/change_state.hpp
+++ b/src/changes/change_state.hpp
@@ -134,6 +134,7 @@
     std::size_t members() const { return members_.size(); }  // that are known
     // Of the last relay word that was taken of this life; 0: none.
     std::uint64_t last_number(const std::string& relay, std::uint64_t life) const;
+    std::uint64_t last_life(const std::string& relay) const;  // 0: it is not known
     bool knows_later_life(const std::string& relay, std::uint64_t life) const;
     // Of the last command: how many members, relays and entries were looked at; for tests of its cost.
     std::uint64_t looked_at() const { return looked_at_; }
--- a/src/changes/gather.hpp
+++ b/src/changes/gather.hpp
@@ -39,6 +39,8 @@
     // The stewards know nothing of this life (they lost it, or it is new to them): all is said again.
     void say_all();
 
+    // Of the relay's own lease; 0: it is over, or there was none yet.
+    Nanos lease_left(Nanos now) const { return lease_until_ > now ? lease_until_ - now : 0; }
     std::uint64_t lowest() const;
     std::size_t members() const { return members_.size(); }
 
--- a/src/wire/change_words.cpp
+++ b/src/wire/change_words.cpp
@@ -203,6 +203,7 @@
     Json out = {{"relay", w.relay}, {"life", w.life}, {"number", w.number}, {"lowest", w.lowest}};
     put(out, call.watched);
     if (!w.zone.empty()) out["zone"] = w.zone;
+    if (w.whole) out["whole"] = true;
     if (!w.joined.empty()) out["joined"] = out_of(w.joined);
     if (!w.left.empty()) out["left"] = w.left;
     if (!w.lost.empty()) out["lost"] = w.lost;
@@ -228,6 +229,7 @@
         return fail("'number' is missing or no number above 0");
     if (!take_number(in, "lowest", w.lowest)) return fail("'lowest' is no number");
     if (!take_watched(in, call.watched, why)) return fail(why);
+    if (!take_flag(in, "whole", w.whole)) return fail("'whole' is no truth value");
     if (!take_members(in, "joined", w.joined)) return fail("'joined' is malformed");
     if (!take_lives(in, "left", w.left)) return fail("'left' is malformed");
     if (!take_lives(in, "lost", w.lost)) return fail("'lost' is malformed");
--- a/src/wire/client_front.cpp
+++ b/src/wire/client_front.cpp
@@ -23,8 +23,8 @@
 }  // namespace
 
 ClientFront::ClientFront(boost::asio::io_context& io, Timekeeper& time, RequestTaker& taker, std::size_t most,
-                         Nanos stall)
-    : io_(io), time_(time), taker_(taker), most_(most), stall_(stall), acceptor_(io) {}
+                         Nanos stall, std::size_t longest)
+    : io_(io), time_(time), taker_(taker), most_(most), stall_(stall), longest_(longest), acceptor_(io) {}
 
 void ClientFront::listen(const std::string& host, std::uint16_t port) {
     const tcp::endpoint at(boost::asio::ip::make_address(host), port);
@@ -67,7 +67,7 @@
     error_code ec;
     socket.set_option(tcp::no_delay(true), ec);
     socket.non_blocking(true, ec);  // for the last reads before it is closed
-    const Handle h = clients_.take(std::move(socket));
+    const Handle h = clients_.take(std::move(socket), longest_);
     clients_.find(h)->idle_since = time_.earliest();  // it may have waited in the backlog
     await_request(h);
     read(h);
--- a/src/wire/client_front.hpp
+++ b/src/wire/client_front.hpp
@@ -38,9 +38,10 @@
 
 class ClientFront final : public AnswerGiver, public DueHandler {
   public:
-    // At most so many connections; a client that does not take its answer is let go after `stall`.
+    // At most so many connections; a client that does not take its answer is let go after `stall`. Bodies up
+    // to `longest` are let in.
     ClientFront(boost::asio::io_context& io, Timekeeper& time, RequestTaker& taker, std::size_t most,
-                Nanos stall);
+                Nanos stall, std::size_t longest = longest_body);
 
     // Throws boost::system::system_error where the address can't be had.
     void listen(const std::string& host, std::uint16_t port);
@@ -62,7 +63,7 @@
   private:
     enum class State : std::uint8_t { reading, asked, answering, lingering, closed };
     struct Client {
-        explicit Client(boost::asio::ip::tcp::socket s) : socket(std::move(s)) {}
+        Client(boost::asio::ip::tcp::socket s, std::size_t longest) : socket(std::move(s)), reader(longest) {}
 
         boost::asio::ip::tcp::socket socket;
         State state = State::reading;
@@ -97,6 +98,7 @@
     RequestTaker& taker_;
     const std::size_t most_;
     const Nanos stall_;
+    const std::size_t longest_;
     boost::asio::ip::tcp::acceptor acceptor_;
     Slots<Client> clients_;
     bool accepting_ = false, stopping_ = false;
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -90,7 +90,7 @@
 
 class RequestReader::Parser final : public Gatherer<true> {
   public:
-    Parser() : Gatherer(longest_body) {}
+    using Gatherer::Gatherer;
 
     Request request;
     bool owes_continue = false, begun = false;
@@ -120,7 +120,8 @@
     }
 };
 
-RequestReader::RequestReader() : parser_(std::make_unique<Parser>()) {}
+RequestReader::RequestReader(std::size_t longest)
+    : parser_(std::make_unique<Parser>(longest)), longest_(longest) {}
 RequestReader::~RequestReader() = default;
 
 Reading RequestReader::feed(std::string& in) {
@@ -141,7 +142,7 @@
 
 bool RequestReader::begun() const { return parser_->begun; }
 Request& RequestReader::request() { return parser_->request; }
-void RequestReader::next() { parser_ = std::make_unique<Parser>(); }
+void RequestReader::next() { parser_ = std::make_unique<Parser>(longest_); }
 
 class AnswerReader::Parser final : public Gatherer<false> {
   public:
--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -20,10 +20,10 @@
     std::string body;
 };
 
-// Reads requests one after the other.
+// Reads requests one after the other; a body is let in up to `longest`.
 class RequestReader {
   public:
-    RequestReader();
+    explicit RequestReader(std::size_t longest = longest_body);
     ~RequestReader();
 
     // Takes what it can from the front of `in`. With `done`, the rest belongs to the next request.
@@ -39,6 +39,7 @@
   private:
     class Parser;
     std::unique_ptr<Parser> parser_;
+    std::size_t longest_;
 };
 
 // Reads answers one after the other; the body is let in up to `longest`.
--- a/tests/change_words_test.cpp
+++ b/tests/change_words_test.cpp
@@ -19,15 +19,13 @@
 
 RelayCall relay() {
     RelayCall call;
-    call.word = {"relay-a1",
-                 "a",
-                 9,
-                 3,
-                 {{"r1", 7, 1000 * ms, 41, 0, ""}, {"r2", 1, 0, 0, 0, ""}},
-                 {{"r3", 5}},
-                 {{"r4", 6}, {"r5", 8}},
-                 41,
-                 {{"r2", 1, 0, 0, 42, "no"}}};
+    call.word.relay = "relay-a1", call.word.zone = "a", call.word.life = 9, call.word.number = 3;
+    call.word.whole = true;
+    call.word.joined = {{"r1", 7, 1000 * ms, 41, 0, ""}, {"r2", 1, 0, 0, 0, ""}};
+    call.word.left = {{"r3", 5}};
+    call.word.lost = {{"r4", 6}, {"r5", 8}};
+    call.word.lowest = 41;
+    call.word.exceptions = {{"r2", 1, 0, 0, 42, "no"}};
     call.watched = {42, 17, false, "", 1000 * ms};
     return call;
 }
@@ -137,6 +135,7 @@
     CHECK(wrong_of_relay(R"({"life":1})") == "'relay' is missing or malformed");
     CHECK(wrong_of_relay(R"({"relay":"a","life":1})") == "'number' is missing or no number above 0");
     const std::string good = R"({"relay":"a","life":1,"number":1,)";
+    CHECK(wrong_of_relay(good + R"("whole":1})") == "'whole' is no truth value");
     CHECK(wrong_of_relay(good + R"("joined":{}})") == "'joined' is malformed");
     CHECK(wrong_of_relay(good + R"("joined":[{"name":"r"}]})") == "'joined' is malformed");
     CHECK(wrong_of_relay(good + R"("left":[["r"]]})") == "'left' is malformed");
