Relays of a fleet's changes, and stewards that agree on them behind a 'changes' block

Cause: routers in thousands can't call three stewards each; changes flow down and words up through relays that keep nothing.

--- a/src/changes/change_state.hpp
+++ b/src/changes/change_state.hpp
@@ -113,6 +113,7 @@
     Nanos now() const { return now_; }
     Nanos hold_until() const { return hold_until_; }
     bool halted() const { return halted_; }
+    std::uint64_t halted_version() const { return tripped_; }  // the last that halted; 0: none did
     const std::string& halted_for() const { return halted_for_; }
     const Document& document() const { return document_; }
     std::uint64_t digest() const { return digest_; }
--- /dev/null
+++ b/src/steward/entries.cpp
@@ -0,0 +1,55 @@
+#include "steward/entries.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+#include <string>
+
+namespace tealcart::steward {
+namespace {
+
+// The fleet's own entries and snapshots are CBOR maps, which begin with 0xa0 to 0xbf; these can't.
+constexpr std::uint8_t changes_mark = 0x01;
+constexpr std::uint8_t snapshot_mark[] = {0x02, 't', 'c'};
+constexpr std::uint8_t snapshot_form = 1;
+constexpr std::size_t head = sizeof snapshot_mark + 1 + 8;  // then the length of the fleet's part
+
+}  // namespace
+
+Bytes entry_of_changes(Bytes command) {
+    command.insert(command.begin(), changes_mark);
+    return command;
+}
+
+Entry read_entry(const std::uint8_t* bytes, std::size_t size) {
+    if (size > 0 && bytes[0] == changes_mark) return {true, bytes + 1, size - 1};
+    return {false, bytes, size};
+}
+
+Bytes write_snapshot(const Snapshot& s) {
+    Bytes out(std::begin(snapshot_mark), std::end(snapshot_mark));
+    out.push_back(snapshot_form);
+    for (unsigned shift = 0; shift < 64; shift += 8)
+        out.push_back(static_cast<std::uint8_t>(std::uint64_t{s.fleet.size()} >> shift));
+    out.insert(out.end(), s.fleet.begin(), s.fleet.end());
+    if (s.changes) out.insert(out.end(), s.changes->begin(), s.changes->end());
+    return out;
+}
+
+Snapshot read_snapshot(const Bytes& in) {
+    if (in.size() < sizeof snapshot_mark ||
+        !std::equal(std::begin(snapshot_mark), std::end(snapshot_mark), in.begin()))
+        return {in, std::nullopt};
+    if (in.size() < head) throw std::runtime_error("a stewards' snapshot that is cut off");
+    if (const int form = in[sizeof snapshot_mark]; form != snapshot_form)
+        throw std::runtime_error("a stewards' snapshot of form " + std::to_string(form) +
+                                 ", this program reads " + std::to_string(snapshot_form));
+    std::uint64_t length = 0;
+    for (unsigned i = 0; i < 8; ++i) length |= std::uint64_t{in[sizeof snapshot_mark + 1 + i]} << 8 * i;
+    if (length > in.size() - head) throw std::runtime_error("a stewards' snapshot that is cut off");
+    const auto split = in.begin() + static_cast<std::ptrdiff_t>(head + length);
+    Snapshot s{{in.begin() + head, split}, std::nullopt};
+    if (split != in.end()) s.changes = Bytes(split, in.end());
+    return s;
+}
+
+}  // namespace tealcart::steward
--- a/src/steward/steward.cpp
+++ b/src/steward/steward.cpp
@@ -4,6 +4,8 @@
 #include <csignal>
 
 #include "service/log.hpp"
+#include "steward/change_requests.hpp"
+#include "steward/entries.hpp"
 
 namespace tealcart::steward {
 namespace {
@@ -12,17 +14,29 @@
 constexpr Nanos words_wait = 5 * ms;      // of members' words for others that come at the same time
 constexpr std::size_t most_words = 2000;  // in one entry of the log
 constexpr std::size_t most_clients = 20'000;
+constexpr std::size_t longest_call = 2 * 1024 * 1024;  // of a relay with all its members; of a publisher
 constexpr Nanos stall = 5 * second, view_every = 100 * ms;
 constexpr int handlers_a_turn = 4096;
-enum Due : std::uint64_t { flush };
+enum Due : std::uint64_t { flush, flush_of_relays };
+
+// Why a relay's word was not taken, where to say all of it would not help.
+std::string refusal_of(const std::vector<changes::Effect>& effects, const std::string& relay) {
+    for (const changes::Effect& e : effects)
+        if (e.kind == changes::Effect::stale && !e.names.empty() && e.names[0] == relay &&
+            (e.why == "malformed" || e.why.rfind("no room", 0) == 0))
+            return e.why;
+    return {};
+}
 
 }  // namespace
 
 Steward::Steward(boost::asio::io_context& io, const StewardTerms& terms, std::uint64_t id,
                  const Launch& launch, Nanos clock_error)
     : io_(io), signals_(io, SIGTERM, SIGINT), terms_(terms), id_(id), clock_error_(clock_error),
-      tick_every_(std::min(250 * ms, terms.budgets.lease / 20)), state_(terms.budgets), view_(launch.terms),
-      front_(io, time_, *this, most_clients, stall),
+      tick_every_(std::min(
+          {250 * ms, terms.budgets.lease / 20, terms.takes_changes ? terms.changes.lease / 20 : 250 * ms})),
+      state_(terms.budgets), changes_(terms.changes), view_(launch.terms),
+      front_(io, time_, *this, most_clients, stall, terms.takes_changes ? longest_call : longest_body),
       watch_(io, time_, *this, launch.discovery, static_cast<std::uint32_t>(launch.terms.places),
              launch.seed),
       raft_(io,
@@ -54,6 +68,7 @@
         lead();
         wait = raft_.turn();
         tell_waiting();
+        tell_relays();
     }
     log_line("stopping");
     front_.close_all();
@@ -88,8 +103,21 @@
     front_.answer(client, {421, write_elsewhere(leader), 0});
 }
 
+void Steward::on_client_gone(Handle client) {
+    waiting_.erase(client.slot);
+    relays_waiting_.erase(client.slot);
+}
+
 void Steward::on_request(Handle client, Request& request, Nanos) {
     const std::string_view path = request.path;
+    if (!terms_.takes_changes && (path == "/fleet/changes" || path == relay_path))
+        return refuse(client, 404, "the stewards' file has no 'changes' block");
+    if (path == "/fleet/changes") {
+        if (request.method != "GET") return front_.answer(client, {405, write_error("GET only"), 0, "GET"});
+        const ChangeFigures figures{id_, raft_.leader(), terms_.fleet, leader_address(),
+                                    relays_waiting_.size()};
+        return front_.answer(client, {200, write_changes(changes_, figures), 0});
+    }
     if (path == "/-/ready" || path == "/fleet/status") {
         if (request.method != "GET") return front_.answer(client, {405, write_error("GET only"), 0, "GET"});
         if (path == "/-/ready")
@@ -108,6 +136,8 @@
     if (path.substr(0, before.size()) != before) return refuse(client, 404, "no such path");
     if (request.method != "POST") return front_.answer(client, {405, write_error("POST only"), 0, "POST"});
     if (path == member_path) return on_member(client, request.body);
+    if (path == relay_path) return on_relay(client, request.body);
+    if (on_change(client, path.substr(before.size()), request.body)) return;
     on_operator(client, path.substr(before.size()), request.body);
 }
 
@@ -140,7 +170,11 @@
         flush_due_ = time_.due.add(time_.now() + words_wait, *this, Handle{}, flush);
 }
 
-void Steward::on_due(Handle, std::uint64_t) {
+void Steward::on_due(Handle, std::uint64_t what) {
+    if (what == flush_of_relays) {
+        flush_relays_due_ = Deadlines::none;
+        return flush_relays();
+    }
     flush_due_ = Deadlines::none;
     flush_words();
 }
@@ -182,6 +216,102 @@
     }
 }
 
+void Steward::on_relay(Handle client, const std::string& body) {
+    std::string wrong;
+    auto call = read_relay_call(body, wrong);
+    if (!call) return refuse(client, 400, wrong);
+    if (!raft_.leads()) return send_elsewhere(client);
+    if (changes_.knows_later_life(call->word.relay, call->word.life))
+        return front_.answer(client, {409, write_outlived(changes_.last_life(call->word.relay)), 0});
+    relay_batch_.words.words.push_back(call->word);
+    relay_batch_.calls.emplace_back(client, std::move(*call));
+    if (relay_batch_.calls.size() >= most_words) return flush_relays();
+    if (flush_relays_due_ == Deadlines::none)
+        flush_relays_due_ = time_.due.add(time_.now() + words_wait, *this, Handle{}, flush_of_relays);
+}
+
+void Steward::flush_relays() {
+    time_.due.drop(flush_relays_due_);
+    RelayBatch batch = std::exchange(relay_batch_, {});
+    if (batch.calls.empty()) return;
+    auto calls = std::make_shared<decltype(batch.calls)>(std::move(batch.calls));
+    propose_change(changes::Command{"", 0, std::move(batch.words)}, [this, calls](bool agreed, auto effects) {
+        for (const auto& [client, call] : *calls) {
+            const changes::RelayWord& word = call.word;
+            if (!agreed) {
+                send_elsewhere(client);
+            } else if (changes_.knows_later_life(word.relay, word.life)) {
+                front_.answer(client, {409, write_outlived(changes_.last_life(word.relay)), 0});
+            } else if (changes_.last_number(word.relay, word.life) >= word.number) {
+                relays_waiting_[client.slot] = {client, call.watched, word.number,
+                                                time_.now() + call.watched.wait};
+            } else if (const std::string why = refusal_of(effects, word.relay); !why.empty()) {
+                refuse(client, 503, why);
+            } else {  // its lease was over, or it is new to them; a whole word may have been taken before
+                      // that
+                ChangesAnswer answer;
+                answer.version = changes_.version();
+                answer.say_all = true;
+                answer.drift = changes_.limits().drift;
+                front_.answer(client, {200, write_changes_answer(answer), 0});
+            }
+        }
+    });
+}
+
+void Steward::answer_relay(const RelayWaiting& w) {
+    ChangesAnswer answer;
+    answer.lease = changes_.limits().lease;
+    answer.taken = w.number;
+    answer.drift = changes_.limits().drift;
+    put_news(changes_, w.watched, answer);
+    front_.answer(w.client, {200, write_changes_answer(answer), 0});
+}
+
+void Steward::tell_relays() {
+    const Nanos now = time_.now();
+    for (auto it = relays_waiting_.begin(); it != relays_waiting_.end();) {
+        // What a relay knows may also be of a steward that was ahead: then it waits its time.
+        if (changes_.version() <= it->second.watched.knows && now < it->second.until) {
+            ++it;
+            continue;
+        }
+        const RelayWaiting w = std::move(it->second);
+        it = relays_waiting_.erase(it);
+        answer_relay(w);
+    }
+}
+
+bool Steward::on_change(Handle client, std::string_view what, const std::string& body) {
+    if (what != "publish" && what != "back" && what != "changes-resume" && what != "entry") return false;
+    std::string wrong;
+    auto call = read_change_request(body, wrong);
+    if (!terms_.takes_changes) {
+        refuse(client, 404, "the stewards' file has no 'changes' block");
+    } else if (!call) {
+        refuse(client, 400, wrong);
+    } else if (!raft_.leads()) {
+        send_elsewhere(client);
+    } else if (what == "entry") {
+        const auto entry = write_entry(changes_, call->key);
+        if (!entry) return refuse(client, 404, "there is no such key"), true;
+        front_.answer(client, {200, *entry, 0});
+    } else {
+        changes::Command command{std::move(call->id), 0, changes::Resume{}};
+        if (what == "publish")
+            command.what = changes::Publish{std::move(call->asker), std::move(call->set),
+                                            std::move(call->removed), call->based_on};
+        if (what == "back") command.what = changes::GoBack{std::move(call->asker), call->to};
+        propose_change(std::move(command),
+                       [this, client](bool agreed, const std::vector<changes::Effect>& effects) {
+                           if (!agreed)
+                               return refuse(client, 503, "not agreed: ask again, under the same id");
+                           front_.answer(client, {200, write_effects(effects), 0});
+                       });
+    }
+    return true;
+}
+
 void Steward::on_operator(Handle client, std::string_view what, const std::string& body) {
     std::string wrong;
     const auto call = read_operator_call(body, wrong);
@@ -219,6 +349,8 @@
         add(fleet::Resume{});
     } else if (what == "forget") {
         add(fleet::Forget{call->name});
+        if (terms_.takes_changes)  // it may be known to both
+            propose_change({call->id + "/changes", 0, changes::Forget{call->name}}, [](bool, auto) {});
     } else if (what == "stewards/add" || what == "stewards/remove") {
         if (changing_) return refuse(client, 409, "another change of the stewards is under way");
         const std::uint64_t id = call->requests.empty() ? 0 : call->requests.front();
@@ -264,8 +396,44 @@
     }
 }
 
+void Steward::propose_change(changes::Command command, ChangesTold told) {
+    command.at = time_.now() + clock_error_;
+    ticked_changes_at_ = time_.now();
+    const auto ended = [this, told](bool applied) {
+        told(applied, applied ? last_change_effects_ : std::vector<changes::Effect>{});
+    };
+    if (!raft_.propose(entry_of_changes(changes::write_command(command)), ended)) ended(false);
+}
+
+std::vector<std::uint8_t> Steward::save() const {
+    // Where no change was ever agreed, earlier programs can read it.
+    if (!terms_.takes_changes && changes_.version() == 0) return state_.save();
+    return write_snapshot({state_.save(), changes_.save()});
+}
+
+void Steward::load(const std::vector<std::uint8_t>& bytes) {
+    const Snapshot snapshot = read_snapshot(bytes);
+    state_.load(snapshot.fleet);
+    if (snapshot.changes)
+        changes_.load(*snapshot.changes);
+    else
+        changes_ = changes::ChangeState(terms_.changes);
+}
+
 void Steward::apply(const std::uint8_t* bytes, std::size_t size) {
-    const fleet::Command command = fleet::read_command(bytes, size);
+    const Entry entry = read_entry(bytes, size);
+    if (entry.of_changes) {
+        last_change_effects_ = changes_.apply(changes::read_command(entry.bytes, entry.size));
+        for (const changes::Effect& e : last_change_effects_) {
+            std::string names;
+            for (const std::string& name : e.names) names += (names.empty() ? ": " : ", ") + name;
+            log_line("changes: %s: version %llu%s%s%s", word_of(e.kind),
+                     static_cast<unsigned long long>(e.version), names.c_str(), e.why.empty() ? "" : ": ",
+                     e.why.c_str());
+        }
+        return;
+    }
+    const fleet::Command command = fleet::read_command(entry.bytes, entry.size);
     last_effects_ = state_.apply(command);
     for (const fleet::Effect& e : last_effects_)
         log_line("%s: request %llu fence %llu generation %llu %s%s%s", word_of(e.kind),
@@ -292,6 +460,13 @@
             propose({{"", 0, std::move(*news)}}, [this](bool, auto) { proposing_view_ = false; });
         }
     }
+    if (terms_.takes_changes && !allowing_ && !(changes_.limits() == terms_.changes)) {
+        allowing_ = true;
+        propose_change(changes::Command{"", 0, changes::Allow{terms_.changes}},
+                       [this](bool, auto) { allowing_ = false; });
+    } else if (terms_.takes_changes && now - ticked_changes_at_ >= tick_every_) {
+        propose_change(changes::Command{"", 0, changes::Tick{}}, nothing);
+    }
     if (now - proposed_at_ >= tick_every_) propose({{"", 0, fleet::Tick{}}}, nothing);
 }
 
--- a/src/steward/steward.hpp
+++ b/src/steward/steward.hpp
@@ -1,5 +1,5 @@
-// One steward: members' and operators' calls over HTTP/1.1, the replicated log behind them, and the fleet's
-// agreed state. Whoever leads proposes; every steward applies.
+// One steward: members', relays' and operators' calls over HTTP/1.1, the replicated log behind them, and the
+// fleet's agreed state. Whoever leads proposes; every steward applies.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -8,12 +8,14 @@
 #include <map>
 #include <memory>
 
+#include "changes/change_state.hpp"
 #include "fleet/fleet_state.hpp"
 #include "service/launch.hpp"
 #include "steward/node_view.hpp"
 #include "steward/raft_node.hpp"
 #include "steward/requests.hpp"
 #include "steward/steward_terms.hpp"
+#include "wire/change_words.hpp"
 #include "wire/client_front.hpp"
 #include "wire/discovery_watch.hpp"
 
@@ -34,26 +36,45 @@
         Nanos until = 0;
         bool agreed = false;  // its word stands in the log
     };
+    // A relay's call that waits for a later version.
+    struct RelayWaiting {
+        Handle client;
+        Watched watched;
+        std::uint64_t number = 0;  // of its word, which was taken
+        Nanos until = 0;
+    };
     // Calls whose words go into the log together.
     struct Batch {
         fleet::Words words;
         std::vector<std::pair<Handle, MemberCall>> calls;
     };
+    struct RelayBatch {
+        changes::Words words;
+        std::vector<std::pair<Handle, RelayCall>> calls;
+    };
 
     void on_request(Handle client, Request& request, Nanos began) override;
-    void on_client_gone(Handle client) override { waiting_.erase(client.slot); }
+    void on_client_gone(Handle client) override;
     void on_list(const TargetList& list) override { view_.take(list, time_.now()); }
     void on_due(Handle who, std::uint64_t what) override;
     void apply(const std::uint8_t* bytes, std::size_t size) override;
-    std::vector<std::uint8_t> save() const override { return state_.save(); }
-    void load(const std::vector<std::uint8_t>& bytes) override { state_.load(bytes); }
+    std::vector<std::uint8_t> save() const override;
+    void load(const std::vector<std::uint8_t>& bytes) override;
 
     void on_member(Handle client, const std::string& body);
     void on_operator(Handle client, std::string_view what, const std::string& body);
+    void on_relay(Handle client, const std::string& body);
+    // False where it is no path of changes.
+    bool on_change(Handle client, std::string_view what, const std::string& body);
     void flush_words();
+    void flush_relays();
+    void answer_relay(const RelayWaiting& w);
+    void tell_relays();
     // All of the commands, in this order; told once the last is applied, with what came of them.
     using Told = std::function<void(bool agreed, std::vector<fleet::Effect> effects)>;
     void propose(std::vector<fleet::Command> commands, Told told);
+    using ChangesTold = std::function<void(bool agreed, std::vector<changes::Effect> effects)>;
+    void propose_change(changes::Command command, ChangesTold told);
     void tell_waiting();
     void lead();
     void set_timer(Nanos at);
@@ -68,6 +89,7 @@
     const Nanos clock_error_, tick_every_;
     Timekeeper time_;
     fleet::FleetState state_;
+    changes::ChangeState changes_;
     NodeView view_;
     ClientFront front_;
     DiscoveryWatch watch_;
@@ -75,11 +97,15 @@
     boost::asio::steady_timer timer_;
     std::map<std::uint32_t, std::pair<Handle, Waiting>> waiting_;  // by the client's slot
     Batch batch_;
-    Deadlines::Ticket flush_due_ = Deadlines::none;
+    std::map<std::uint32_t, RelayWaiting> relays_waiting_;  // by the client's slot
+    RelayBatch relay_batch_;
+    Deadlines::Ticket flush_due_ = Deadlines::none, flush_relays_due_ = Deadlines::none;
     std::vector<fleet::Effect> last_effects_;
+    std::vector<changes::Effect> last_change_effects_;
     std::uint64_t told_generation_ = 0, led_by_ = 0;
-    Nanos timer_at_ = Deadlines::never, proposed_at_ = 0, stop_began_ = 0, view_at_ = 0;
-    bool changing_ = false, proposing_view_ = false;
+    Nanos timer_at_ = Deadlines::never, proposed_at_ = 0, ticked_changes_at_ = 0, stop_began_ = 0,
+          view_at_ = 0;
+    bool changing_ = false, proposing_view_ = false, allowing_ = false;
 };
 
 }  // namespace tealcart::steward
--- a/src/steward/steward_terms.cpp
+++ b/src/steward/steward_terms.cpp
@@ -115,6 +115,28 @@
             b.halt_holders = static_cast<std::size_t>(h.whole("holders", 0, 0, 1000));
             h.finish();
         }
+        if (const HclBlock* block = of.only_block("changes")) {
+            BlockReader c(*block, mistakes);
+            c.no_label();
+            changes::Limits& l = terms.changes;
+            const auto count = [&c](const char* name, std::size_t& to, std::int64_t most) {
+                to = static_cast<std::size_t>(c.whole(name, static_cast<std::int64_t>(to), 1, most));
+            };
+            terms.takes_changes = true;
+            l.lease = c.span("lease", l.lease, 500 * ms, hour);
+            l.drift = c.span("drift", l.drift, 0, hour);
+            l.forget = c.span("forget", l.forget, 0, 365 * 24 * hour);
+            l.halt_refused = c.number("halt_refused", l.halt_refused, 0, 1);
+            count("halt_refused_least", l.halt_refused_least, any_number);
+            count("most_entries", l.most_entries, 10'000);
+            l.longest_entry = c.bytes("longest_entry", l.longest_entry, 16, 256 * 1024);
+            count("most_kept", l.most_kept, 100'000);
+            count("most_members", l.most_members, 1'000'000);
+            count("most_relays", l.most_relays, 100'000);
+            if (l.lease < 2 * terms.election)
+                c.wrong(block->at, "'lease' is under two of 'election': no leader could be found within one");
+            c.finish();
+        }
         of.finish();
     }
     in.finish();
--- a/src/steward/steward_terms.hpp
+++ b/src/steward/steward_terms.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "changes/change_state.hpp"
 #include "fleet/fleet_state.hpp"
 #include "terms/host_port.hpp"
 #include "terms/operator_terms.hpp"
@@ -22,6 +23,8 @@
     Nanos election = 600'000'000;
     std::map<std::uint64_t, OneSteward> stewards;  // by id
     fleet::Budgets budgets;
+    bool takes_changes = false;  // a `changes` block is stated: without one, none are agreed
+    changes::Limits changes;
     LogTerms log;
 };
 
--- a/src/wire/change_words.cpp
+++ b/src/wire/change_words.cpp
@@ -67,7 +67,18 @@
     return to.size() <= longest;
 }
 
-// A `why` that is no UTF-8 is told with marks in place of what can't be written.
+// What is no UTF-8 is written with marks of up to three bytes in its place, so that the text is cut behind
+// it.
+std::string cut(const std::string& why) {
+    std::string text =
+        Json::parse(Json(why.substr(0, longest_why)).dump(-1, ' ', false, Json::error_handler_t::replace))
+            .get<std::string>();
+    if (text.size() <= longest_why) return text;
+    std::size_t end = longest_why;
+    while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xc0) == 0x80) --end;  // not within a letter
+    return text.substr(0, end);
+}
+
 std::string written(const Json& out) { return out.dump(-1, ' ', false, Json::error_handler_t::replace); }
 
 // What is 0 or empty is left out.
@@ -76,7 +87,7 @@
     if (w.serve_on > 0) out["serve_on_ms"] = w.serve_on / ms;
     if (w.acts_on > 0) out["acts_on"] = w.acts_on;
     if (w.refused > 0) out["refused"] = w.refused;
-    if (!w.why.empty()) out["why"] = w.why.substr(0, longest_why);
+    if (!w.why.empty()) out["why"] = cut(w.why);
     return out;
 }
 
--- /dev/null
+++ b/tests/relay_parts_test.cpp
@@ -0,0 +1,196 @@
+// The parts of relays and stewards for changes that need no process: what stands in the log, the blocks of
+// the operators' files, and what a relay hands on.
+#include <catch2/catch.hpp>
+
+#include "relay/history.hpp"
+#include "relay/relay_terms.hpp"
+#include "steward/change_requests.hpp"
+#include "steward/entries.hpp"
+#include "steward/steward_terms.hpp"
+
+using namespace tealcart;
+using changes::Delta;
+
+namespace {
+
+std::string wrong_relay(const std::string& text) {
+    try {
+        relay::read_relay_terms(text, "relay.hcl");
+    } catch (const HclMistakes& e) {
+        return e.what();
+    }
+    return {};
+}
+
+std::string stewards(const std::string& block) {
+    return "fleet \"x\" {\n steward \"1\" {\n raft = \"127.0.0.1:1\"\n http = \"127.0.0.1:2\"\n folder = "
+           "\"/f\"\n }\n" +
+           block + "\n}\n";
+}
+
+std::string wrong_stewards(const std::string& block) {
+    try {
+        steward::read_steward_terms(stewards(block), "fleet.hcl");
+    } catch (const HclMistakes& e) {
+        return e.what();
+    }
+    return {};
+}
+
+}  // namespace
+
+TEST_CASE("a relay's file is read, and each mistake is told with its place") {
+    const auto terms = relay::read_relay_terms(
+        "log {\n format = \"json\"\n}\nrelay \"r1\" {\n zone = \"a\"\n bind = \"127.0.0.1:7301\"\n stewards "
+        "= "
+        "[\"127.0.0.1:1\", \"127.0.0.1:2\"]\n most_followers = 7\n page_bytes = \"8KiB\"\n pages_a_second = "
+        "0.5\n}\n",
+        "relay.hcl");
+    CHECK(terms.name == "r1");
+    CHECK(terms.zone == "a");
+    CHECK(terms.bind == HostPort{"127.0.0.1", 7301});
+    CHECK(terms.stewards.size() == 2);
+    CHECK(terms.most_followers == 7);
+    CHECK(terms.page_bytes == 8192);
+    CHECK(terms.pages_a_second == 0.5);
+    CHECK(terms.log.form == LogForm::json);
+    CHECK(wrong_relay("") == "relay.hcl:1:1: there is no 'relay' block");
+    CHECK(wrong_relay("relay \"r1\" {\n zone = \"a\"\n bind = \"x\"\n stewards = [\"127.0.0.1:1\", "
+                      "\"127.0.0.1:1\"]\n pages = 3\n most_followers = 0\n}") ==
+          "relay.hcl:1:1: 'bind' is no address with a port\n"
+          "relay.hcl:1:1: the steward '127.0.0.1:1' stands there twice\n"
+          "relay.hcl:5:2: 'pages' is not known here\n"
+          "relay.hcl:6:19: 'most_followers' is outside 1 to 5000");
+    CHECK(wrong_relay("relay \"a b\" {\n bind = \"127.0.0.1:1\"\n}") ==
+          "relay.hcl:1:1: the relay's name has blanks or over 128 letters\n"
+          "relay.hcl:1:1: 'zone' is not stated, or no name of up to 128 letters without blanks\n"
+          "relay.hcl:1:1: 'stewards' names none");
+}
+
+TEST_CASE("the stewards' block of changes is read, and off without it") {
+    CHECK_FALSE(steward::read_steward_terms(stewards(""), "fleet.hcl").takes_changes);
+    const auto terms = steward::read_steward_terms(
+        stewards(
+            "changes {\n lease = \"19s\"\n halt_refused = 0.2\n longest_entry = \"1KiB\"\n most_kept = 9\n}"),
+        "fleet.hcl");
+    CHECK(terms.takes_changes);
+    CHECK(terms.changes.lease == 19'000'000'000);
+    CHECK(terms.changes.halt_refused == 0.2);
+    CHECK(terms.changes.longest_entry == 1024);
+    CHECK(terms.changes.most_kept == 9);
+    CHECK(terms.changes.drift == changes::Limits{}.drift);
+    CHECK(wrong_stewards("changes {\n lease = \"1s\"\n halt_refused = 2\n most_pages = 1\n}") ==
+          "fleet.hcl:7:1: 'lease' is under two of 'election': no leader could be found within one\n"
+          "fleet.hcl:9:17: 'halt_refused' is outside 0 to 1\n"
+          "fleet.hcl:10:2: 'most_pages' is not known here");
+}
+
+TEST_CASE("entries of the log are told apart, and those from before there were changes are the fleet's") {
+    const auto fleet = fleet::write_command({"x", 1, fleet::Tick{}});
+    const auto old = steward::read_entry(fleet.data(), fleet.size());
+    CHECK_FALSE(old.of_changes);
+    CHECK(fleet::read_command(old.bytes, old.size).id == "x");
+    const auto entry = steward::entry_of_changes(changes::write_command({"y", 2, changes::Resume{}}));
+    const auto read = steward::read_entry(entry.data(), entry.size());
+    CHECK(read.of_changes);
+    CHECK(changes::read_command(read.bytes, read.size).id == "y");
+    // A program from before there were changes ends with one line.
+    CHECK_THROWS_AS(fleet::read_command(entry.data(), entry.size()), std::runtime_error);
+    CHECK_FALSE(steward::read_entry(nullptr, 0).of_changes);
+}
+
+TEST_CASE("a snapshot holds both states; an old one is the fleet's alone, another form is refused") {
+    fleet::FleetState state{fleet::Budgets{}};
+    changes::ChangeState change_state{changes::Limits{}};
+    change_state.apply({"x", 1, changes::Publish{"ann", {{"k", "v"}}, {}, {}}});
+    const auto bytes = steward::write_snapshot({state.save(), change_state.save()});
+    const auto read = steward::read_snapshot(bytes);
+    CHECK(read.fleet == state.save());
+    REQUIRE(read.changes);
+    changes::ChangeState loaded{changes::Limits{}};
+    loaded.load(*read.changes);
+    CHECK(loaded.version() == 1);
+    const auto old = steward::read_snapshot(state.save());
+    CHECK(old.fleet == state.save());
+    CHECK_FALSE(old.changes);
+    auto later = bytes;
+    later[3] = 2;
+    CHECK_THROWS_WITH(steward::read_snapshot(later), "a stewards' snapshot of form 2, this program reads 1");
+    CHECK_THROWS_AS(state.load(bytes), std::runtime_error);  // a program from before there were changes
+    for (std::size_t n = 3; n < 12; ++n)
+        CHECK_THROWS_WITH(steward::read_snapshot({bytes.begin(), bytes.begin() + static_cast<long>(n)}),
+                          "a stewards' snapshot that is cut off");
+    auto long_part = bytes;
+    long_part[10] = 0xff;
+    CHECK_THROWS_WITH(steward::read_snapshot(long_part), "a stewards' snapshot that is cut off");
+}
+
+TEST_CASE("what operators ask of changes is read, or refused with words") {
+    std::string wrong;
+    const auto call = steward::read_change_request(
+        R"({"id":"x","asker":"ann","set":{"a":"1"},"removed":["b"],"based_on":3})", wrong);
+    REQUIRE(call);
+    CHECK(call->set.at("a") == "1");
+    CHECK(call->removed.contains("b"));
+    CHECK(call->based_on == 3);
+    const auto wrong_with = [](const char* body) {
+        std::string words;
+        CHECK_FALSE(steward::read_change_request(body, words));
+        return words;
+    };
+    CHECK(wrong_with("x") == "the body is no JSON object");
+    CHECK(wrong_with("{}") == "'id' is missing or malformed");
+    CHECK(wrong_with(R"({"id":"x","set":{"a":1}})") == "'set' is no object of texts by key");
+    CHECK(wrong_with(R"({"id":"x","set":{"":"1"}})") == "'set' is no object of texts by key");
+    CHECK(wrong_with(R"({"id":"x","removed":"a"})") == "'removed' is no list of keys");
+    CHECK(wrong_with(R"({"id":"x","based_on":-1})") == "'based_on' is no version");
+    CHECK(wrong_with(R"({"id":"x","to":"1"})") == "'to' is no version");
+}
+
+TEST_CASE("what a relay keeps leads from each version that it still has the way from") {
+    relay::History history(3, 1000);
+    CHECK_FALSE(history.since(0));
+    changes::Copy relay_copy, copy;
+    std::vector<changes::Copy> at{copy};  // by version
+    changes::Document document;
+    for (std::uint64_t v = 1; v <= 4; ++v) {
+        Delta d{v - 1, v, {{"k" + std::to_string(v % 2), std::to_string(v)}}, {}, 0};
+        if (v == 4) d.set.clear(), d.removed = {"k1"};
+        for (const auto& [key, value] : d.set) document[key] = value;
+        for (const auto& key : d.removed) document.erase(key);
+        d.digest = changes::digest_of(document);
+        REQUIRE(relay_copy.take(d) == changes::Copy::Taken::taken);
+        at.push_back(relay_copy);
+        history.took(d);
+    }
+    CHECK_FALSE(history.since(0));  // three deltas are kept
+    CHECK_FALSE(history.since(4));
+    for (std::uint64_t v = 1; v <= 3; ++v) {
+        const auto delta = history.since(v);
+        REQUIRE(delta);
+        CHECK(at[v].take(*delta) == changes::Copy::Taken::taken);
+        CHECK(at[v].document() == document);
+    }
+    history.forget();
+    CHECK_FALSE(history.since(3));
+    relay::History small(3, 10);
+    small.took({0, 1, {{"key", std::string(20, 'x')}}, {}, 0});
+    CHECK_FALSE(small.since(0));
+}
+
+TEST_CASE("pages hold one entry at least, and together the whole document") {
+    changes::Copy copy, other;
+    Delta d{0, 1, {{"a", std::string(50, 'x')}, {"b", "1"}, {"c", "2"}, {"d", std::string(9, 'y')}}, {}, 0};
+    d.digest = changes::digest_of(d.set);
+    REQUIRE(copy.take(d) == changes::Copy::Taken::taken);
+    std::size_t pages = 0;
+    while (other.version() == 0) {
+        const auto page = relay::page_of(copy, other.wants_after(), 10);
+        CHECK_FALSE(page.entries.empty());
+        REQUIRE(++pages < 10);
+        other.take(page);
+    }
+    CHECK(pages == 3);
+    CHECK(other.document() == copy.document());
+    CHECK(relay::page_of(changes::Copy(), "", 10).last);
+}
