tealcart relay and tealcart config; a rig of relays with faults between them; docs/changes.md

Cause: operators need a way to publish, see how far it came and go back; the tier has to hold while its parts fail.

--- a/deploy/fleet.hcl
+++ b/deploy/fleet.hcl
@@ -37,4 +37,9 @@
     lost    = 0.5  # share of the routers whose lease is over without a farewell
     holders = 1    # a shard with fewer whole holders halts
   }
+  changes {  # of configuration, through relays (docs/changes.md); without this block none are agreed
+    lease        = "10s"
+    drift        = "1s"
+    halt_refused = 0.1  # a greater share of the routers that refuse a version halts publishing
+  }
 }
--- a/src/service/main.cpp
+++ b/src/service/main.cpp
@@ -92,7 +92,8 @@
     const std::string_view word = argv[1];
     if (word == "control") std::exit(run_beside("tealcart-control", "TEALCART_CONTROL", argv + 1));
     if (word == "steward") std::exit(run_beside("tealcart-steward", "TEALCART_FLEET", argv + 1));
-    for (const char* of_fleet : {"drain", "undrain", "halt", "resume", "fleet"})
+    if (word == "relay") std::exit(run_beside("tealcart-relay", "TEALCART_FLEET", argv + 1));
+    for (const char* of_fleet : {"drain", "undrain", "halt", "resume", "fleet", "config"})
         if (word == of_fleet) std::exit(run_beside("tealcart-fleet", "TEALCART_FLEET", argv));
 }
 
@@ -130,7 +131,8 @@
                         "print the new file and what stays behind; write nothing");
     app.add_subcommand("control", "hand decisions to other proxies over xDS; see tealcart control --help");
     app.add_subcommand("steward", "keep what a fleet agrees on; see tealcart steward --help");
-    for (const char* of_fleet : {"drain", "undrain", "halt", "resume", "fleet"})
+    app.add_subcommand("relay", "hand a fleet's changes on to its routers; see tealcart relay --help");
+    for (const char* of_fleet : {"drain", "undrain", "halt", "resume", "fleet", "config"})
         app.add_subcommand(of_fleet, "ask a fleet's stewards; see --help of it");
     CLI::App* telling = app.add_subcommand("version", "print the version");
     CLI::App* completing = app.add_subcommand("completion", "print a completion script for a shell");
--- /dev/null
+++ b/src/standin/change_rig.hpp
@@ -0,0 +1,99 @@
+// Changes of configuration on processes: three stewards and relays, and in the rig's own process scripted
+// followers, which see what reaches them and by when their lease is over.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "changes/document.hpp"
+#include "standin/fleet_rig.hpp"
+#include "wire/change_watch.hpp"
+
+namespace tealcart::standin {
+
+// Takes over what it is told, unless it refuses it; counts its lease from when it called.
+class Follower final : private ChangeTaker {
+  public:
+    using Refuses = std::function<std::string(const changes::Document&)>;  // why; empty: it doesn't
+
+    Follower(boost::asio::io_context& io, Timekeeper& time, History& history, std::string name,
+             std::vector<HostPort> relays, Refuses refuses = {});
+    ~Follower() { watch_.stop(); }
+
+    const std::string name;
+    std::uint64_t acts_on = 0, refused = 0;
+    changes::Copy copy;
+    changes::Document acting;  // the document that it acts by
+    Nanos lease_until = 0;
+    bool went_back = false;    // never to be
+    std::size_t pages = 0;     // that it was told
+    std::size_t outlived = 0;  // times that a later life was told
+    std::string told_by() const { return std::to_string(watch_.address().port); }
+    bool has_lease() const { return lease_until > time_.now(); }
+    void leave();
+
+  private:
+    PostTaker::Call change_call() override;
+    void on_changes(Nanos sent, const ChangesAnswer& answer) override;
+    void on_later_life(std::uint64_t) override { ++outlived, ++life_; }
+
+    Timekeeper& time_;
+    History& history_;
+    const Refuses refuses_;
+    std::uint64_t life_;
+    Nanos lease_ = 0;
+    bool leaves_ = false, left_ = false;
+    std::string why_;
+    ChangeWatch watch_;
+};
+
+struct ChangePlan {
+    std::string programs;
+    std::size_t relays = 2;
+    std::string lease = "2s", drift = "300ms";
+    std::string changes;  // further attributes of the stewards' block
+    std::string relay;    // of each relay's
+};
+
+class ChangeRig {
+  public:
+    ChangeRig(boost::asio::io_context& io, ChangePlan plan);
+
+    void start_relay(std::size_t i);
+    // Calls these relays, the first one first.
+    Follower& follow(const std::string& name, std::vector<std::size_t> relays,
+                     Follower::Refuses refuses = {});
+    bool until(const std::function<bool()>& holds,
+               std::chrono::milliseconds within = std::chrono::seconds(20));
+    // Runs the operators' command through these stewards; its status.
+    int config(std::vector<std::string> words, std::vector<std::size_t> through = {0, 1, 2});
+    std::unique_ptr<Process> config_later(std::vector<std::string> words,
+                                          std::vector<std::size_t> through = {0, 1, 2});
+    // KEY=FILE of this text.
+    std::string entry(const std::string& key, const std::string& text);
+
+    nlohmann::json changes() const;                    // as the leader has them; null: none leads
+    nlohmann::json relay_status(std::size_t i) const;  // null: it does not answer
+    bool in_force(std::uint64_t version);
+    // Each follower whose lease holds by its own clock acts on what the leader says to be in force, but for
+    // newcomers that have nothing yet, and none went back.
+    bool sound();
+
+  private:
+    void tick();
+
+    Timekeeper time_;  // outlives the followers
+
+  public:
+    ChangePlan plan;
+    FleetRig rig;
+    std::vector<std::unique_ptr<Process>> relays;
+    std::vector<std::unique_ptr<Follower>> followers;
+
+  private:
+    boost::asio::io_context& io_;
+    std::vector<std::uint16_t> ports_;
+    std::size_t files_ = 0;
+    std::unique_ptr<boost::asio::steady_timer> timer_;
+};
+
+}  // namespace tealcart::standin
--- a/src/standin/fleet_rig.cpp
+++ b/src/standin/fleet_rig.cpp
@@ -190,8 +190,10 @@
 void FleetRig::run_for(Ms span) { io.run_for(span); }
 
 // What is said between the processes goes through this one's relays, so it goes on meanwhile.
-Json FleetRig::status(std::size_t i) const {
-    const auto reply = steward::ask_once(io, {"127.0.0.1", http_real_[i]}, "/fleet/status", "", Ms(300));
+std::string FleetRig::steward_at(std::size_t i) const { return at(http_[i]); }
+
+Json FleetRig::look(std::size_t i, const std::string& path) const {
+    const auto reply = steward::ask_once(io, {"127.0.0.1", http_real_[i]}, path, "", Ms(300));
     return reply.status == 200 ? Json::parse(reply.body, nullptr, false) : Json();
 }
 
@@ -241,9 +243,9 @@
         if (other != i) raft_relays_[other]->cut(std::to_string(i + 1), {true, true});
 }
 
-void FleetRig::deafen(std::size_t router, bool to, bool from) {
-    history.note("rig", "deafens r" + std::to_string(router));
-    for (auto& relay : http_relays_) relay->cut("r" + std::to_string(router), {to, from});
+void FleetRig::deafen(const std::string& name, bool to, bool from) {
+    history.note("rig", "deafens " + name);
+    for (auto& relay : http_relays_) relay->cut(name, {to, from});
 }
 
 void FleetRig::heal() {
--- a/src/standin/fleet_rig.hpp
+++ b/src/standin/fleet_rig.hpp
@@ -46,7 +46,10 @@
     bool all_up();
 
     // As a steward has it, asked past all relays; null where it does not answer.
-    nlohmann::json status(std::size_t steward) const;
+    nlohmann::json status(std::size_t steward) const { return look(steward, "/fleet/status"); }
+    nlohmann::json look(std::size_t steward, const std::string& path) const;
+    // Where members and relays reach it, through what can be cut.
+    std::string steward_at(std::size_t steward) const;
     std::size_t leader() const;  // the one that says so; the number of stewards: none
     nlohmann::json leading() const;
     nlohmann::json request_for(const std::string& node) const;  // of the leader; null: none is open
@@ -56,7 +59,8 @@
     // What is said between this steward and the others, in both directions or only by it.
     void cut_off(std::size_t steward, bool inbound = true, bool outbound = true);
     // Between a router and all stewards.
-    void deafen(std::size_t router, bool to, bool from);
+    void deafen(std::size_t router, bool to, bool from) { deafen("r" + std::to_string(router), to, from); }
+    void deafen(const std::string& name, bool to, bool from);  // a router or a relay
     void heal();
 
     boost::asio::io_context& io;
--- a/src/standin/rig.cpp
+++ b/src/standin/rig.cpp
@@ -203,7 +203,7 @@
 }
 
 std::string member_tag(const std::string& first) {
-    constexpr std::string_view key = "\"name\":\"";
+    const std::string_view key = first.rfind("POST /fleet/relay ", 0) == 0 ? "\"relay\":\"" : "\"name\":\"";
     const auto at = first.find(key);
     const auto end = at == first.npos ? at : first.find('"', at + key.size());
     return end == first.npos ? std::string() : first.substr(at + key.size(), end - at - key.size());
--- a/src/standin/rig.hpp
+++ b/src/standin/rig.hpp
@@ -99,7 +99,7 @@
     std::vector<std::weak_ptr<Pair>> pairs_;
 };
 
-// The member's name in a call to a steward; the steward's id in the log's handshake.
+// The member's or relay's name in a call to a steward; the steward's id in the log's handshake.
 std::string member_tag(const std::string& first);
 std::string log_tag(const std::string& first);
 
--- a/src/steward/command_main.cpp
+++ b/src/steward/command_main.cpp
@@ -1,12 +1,15 @@
-// The operators' commands: drain, undrain, halt, resume, fleet. Each call has an id, so that one that is said
-// again, to whichever steward, is one.
+// The operators' commands: drain, undrain, halt, resume, fleet, config. Each call has an id, so that one that
+// is said again, to whichever steward, is one.
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
+#include <fstream>
+#include <iterator>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <thread>
 
@@ -25,7 +28,9 @@
 struct Asked {
     std::vector<std::string> stewards, targets, routers;
     std::string file, zone, asker, id, why, name, address;
-    std::uint64_t steward = 0;
+    std::uint64_t steward = 0, version = 0;
+    std::optional<std::uint64_t> based_on;
+    std::vector<std::string> entries, removed;
     double within_s = 10;
     bool wait = false, json = false;
 };
@@ -97,11 +102,11 @@
 
 // The state as the steward that leads has it; where none says that it leads, as any has it. Null: none
 // answers.
-Json state_of(const std::vector<HostPort>& stewards) {
+Json state_of(const std::vector<HostPort>& stewards, const std::string& path = "/fleet/status") {
     boost::asio::io_context io(1);
     Json found;
     for (const HostPort& at : stewards) {
-        const Reply reply = ask_once(io, at, "/fleet/status", "", one_look);
+        const Reply reply = ask_once(io, at, path, "", one_look);
         Json state = Json::parse(reply.body, nullptr, false);
         if (reply.status != 200 || !state.is_object()) continue;
         if (state["leader"] == state["steward"]) return state;
@@ -110,7 +115,7 @@
     // The one that leads may not be among those that were named.
     if (found.is_object())
         if (const auto leader = read_host_port(found["leader_at"].get<std::string>())) {
-            const Reply reply = ask_once(io, *leader, "/fleet/status", "", one_look);
+            const Reply reply = ask_once(io, *leader, path, "", one_look);
             Json state = Json::parse(reply.body, nullptr, false);
             if (reply.status == 200 && state.is_object()) return state;
         }
@@ -238,6 +243,133 @@
     return reply.status == 200 ? std::puts("done") < 0 : told(reply, "-");
 }
 
+std::uint64_t number_of(const Json& in, const char* key) { return in.value(key, std::uint64_t{0}); }
+
+void print_reach(const Json& s) {
+    const Json& reach = s["reach"];
+    std::printf("version %llu: in force at %llu of %llu members that live\n",
+                static_cast<unsigned long long>(number_of(s, "version")),
+                static_cast<unsigned long long>(number_of(reach, "acting")),
+                static_cast<unsigned long long>(number_of(reach, "live")));
+    const auto names = [&reach](const char* key, const char* what) {
+        if (!reach.contains(key) || reach[key].empty()) return;
+        std::printf("  %s:", what);
+        for (const Json& name : reach[key]) std::printf(" %s", name.get<std::string>().c_str());
+        std::printf("\n");
+    };
+    names("behind", "behind");
+    names("refusing", "refuses it");
+    names("unheard", "unheard, may go by an older version");
+    if (s["halted"]) std::printf("  HALTED: %s\n", s["halted_for"].get<std::string>().c_str());
+}
+
+// Until every member that lives acts on it. Where it is refused and halts, it can't come to that by itself.
+int wait_for_version(const std::vector<HostPort>& stewards, std::uint64_t version) {
+    std::string before;
+    while (true) {
+        const Json s = state_of(stewards, "/fleet/changes");
+        if (s.is_object() && s["leader"] == s["steward"] && number_of(s, "version") >= version) {
+            if (const std::string now = s["reach"].dump() + s["halted"].dump(); now != before) {
+                print_reach(s);
+                std::fflush(stdout);
+                before = now;
+            }
+            if (number_of(s, "in_force") >= version) {
+                std::printf("version %llu is in force\n", static_cast<unsigned long long>(version));
+                return good;
+            }
+            if (s["halted"] && number_of(s, "halted_version") == version) return refused;
+        }
+        std::this_thread::sleep_for(look_every);
+    }
+}
+
+int publish(const Asked& asked, const std::string& path, Json call) {
+    const std::vector<HostPort> stewards = stewards_of(asked);
+    const std::string id = asked.id.empty() ? new_id() : asked.id;
+    call["id"] = id;
+    call["asker"] = asked.asker;
+    std::string body;
+    try {
+        body = call.dump();
+    } catch (const Json::exception&) {
+        throw Malformed("what is to be set is no text in UTF-8");
+    }
+    const Reply reply = ask_stewards(stewards, path, body, within(asked));
+    const Json in = Json::parse(reply.body, nullptr, false);
+    if (reply.status != 200 || !in.is_object()) return told(reply, id);
+    if (asked.json) std::printf("%s\n", reply.body.c_str());
+    int status = good;
+    std::uint64_t version = 0;
+    for (const Json& e : in.value("effects", Json::array())) {
+        const std::string what = e["what"];
+        if (what == "published") version = number_of(e, "version");
+        if (what == "refused") status = refused;
+        // The others are of members, and have a time of their own.
+        if (asked.json || (what != "published" && what != "refused" && what != "resumed")) continue;
+        std::printf("%s", what.c_str());
+        if (what == "published") std::printf(" version %llu", static_cast<unsigned long long>(version));
+        if (e.contains("why")) std::printf(": %s", e["why"].get<std::string>().c_str());
+        std::printf("\n");
+    }
+    std::fflush(stdout);
+    return asked.wait && status == good && version > 0 ? wait_for_version(stewards, version) : status;
+}
+
+int set_entries(const Asked& asked) {
+    Json call = {{"set", Json::object()}};
+    for (const std::string& entry : asked.entries) {
+        const auto at = entry.find('=');
+        if (at == 0 || at == entry.npos) {
+            std::fprintf(stderr, "tealcart: '%s' is no KEY=FILE\n", entry.c_str());
+            return usage;
+        }
+        const std::string path = entry.substr(at + 1);
+        std::ifstream file(path, std::ios::binary);
+        const std::string text{std::istreambuf_iterator<char>(file), {}};
+        if (!file) throw Malformed("the file " + path + " can't be read");
+        call["set"][entry.substr(0, at)] = text;
+    }
+    if (!asked.removed.empty()) call["removed"] = asked.removed;
+    if (asked.based_on) call["based_on"] = *asked.based_on;
+    return publish(asked, "/fleet/publish", std::move(call));
+}
+
+int show_entry(const Asked& asked) {
+    const Json call = {{"id", new_id()}, {"key", asked.name}};
+    const Reply reply = ask_stewards(stewards_of(asked), "/fleet/entry", call.dump(), within(asked));
+    const Json in = Json::parse(reply.body, nullptr, false);
+    if (reply.status != 200 || !in.is_object()) return told(reply, "-");
+    if (asked.json) return std::printf("%s\n", reply.body.c_str()) < 0;
+    const std::string value = in["value"];
+    return std::fwrite(value.data(), 1, value.size(), stdout) != value.size();
+}
+
+int show_changes(const Asked& asked) {
+    if (!asked.name.empty()) return show_entry(asked);
+    const Json s = state_of(stewards_of(asked), "/fleet/changes");
+    if (!s.is_object()) return told(ask_stewards(stewards_of(asked), "/fleet/changes", "", one_look), "-");
+    if (asked.json) return std::printf("%s\n", s.dump().c_str()) < 0;
+    if (number_of(s, "leader") == 0) std::printf("NO STEWARD LEADS: nothing is published\n");
+    print_reach(s);
+    std::printf("in force everywhere: version %llu\n",
+                static_cast<unsigned long long>(number_of(s, "in_force")));
+    if (number_of(s, "held_for_ms") > 0)
+        std::printf("agreement was interrupted: nothing is told to be in force for another %.1f s\n",
+                    s["held_for_ms"].get<double>() / 1000);
+    std::printf("\nversions\n");
+    for (const Json& v : s["history"])
+        std::printf("  %6llu  %4llu entries by %s%s\n",
+                    static_cast<unsigned long long>(number_of(v, "version")),
+                    static_cast<unsigned long long>(number_of(v, "entries")),
+                    v["asker"].get<std::string>().c_str(), v["in_force"] ? ", in force" : "");
+    std::printf("\nkeys\n");
+    for (const Json& key : s["keys"])
+        std::printf("  %s  %llu bytes\n", key[0].get<std::string>().c_str(),
+                    static_cast<unsigned long long>(key[1].get<std::uint64_t>()));
+    return good;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -283,6 +415,24 @@
     add->add_option("ADDRESS", asked.address, "its 'raft' address")->required();
     CLI::App* remove = of(fleet, "steward-remove", "a steward is taken out");
     remove->add_option("ID", asked.steward, "its id")->required();
+    CLI::App* config = app.add_subcommand("config", "a fleet's changes of configuration; docs/changes.md");
+    config->require_subcommand(1);
+    const auto publishing = [&](CLI::App* sub) {
+        sub->add_option("--id", asked.id, "the call's id: the same again is one call");
+        sub->add_flag("--wait", asked.wait, "show how far it has come until it is in force");
+        sub->add_flag("--json", asked.json, "what came of it, as JSON");
+        return sub;
+    };
+    CLI::App* set = publishing(of(config, "set", "publish entries, as one version"));
+    set->add_option("KEY=FILE", asked.entries, "an entry, and the file with its text");
+    set->add_option("--remove", asked.removed, "an entry that goes");
+    set->add_option("--based-on", asked.based_on, "refuse it where another version is the latest");
+    CLI::App* shown = of(config, "show", "the latest version and how far it has come, or one entry");
+    shown->add_option("KEY", asked.name, "the entry");
+    shown->add_flag("--json", asked.json, "as JSON");
+    CLI::App* back = publishing(of(config, "back", "a further version with the content of an earlier one"));
+    back->add_option("VERSION", asked.version, "the earlier one")->required();
+    CLI::App* again = of(config, "resume", "publish again after a halt by refusals");
     app.require_subcommand(1);
     try {
         app.parse(argc, argv);
@@ -295,6 +445,14 @@
             std::fprintf(stderr, "tealcart: name data nodes, --zone or --router\n");
             return usage;
         }
+        if (set->parsed() && asked.entries.empty() && asked.removed.empty()) {
+            std::fprintf(stderr, "tealcart: name KEY=FILE or --remove KEY\n");
+            return usage;
+        }
+        if (set->parsed()) return set_entries(asked);
+        if (shown->parsed()) return show_changes(asked);
+        if (back->parsed()) return publish(asked, "/fleet/back", {{"to", asked.version}});
+        if (again->parsed()) return publish(asked, "/fleet/changes-resume", Json::object());
         if (drain->parsed()) return change(asked, "/fleet/ask");
         if (undrain->parsed()) return change(asked, "/fleet/undo");
         if (halt->parsed()) return change(asked, "/fleet/halt");
