Member block names relays; the bridge takes two-phase terms over between rounds

Cause: a router could change nothing but discovery's address while it runs, and a fleet's changes of configuration need a place to name their relays. Change: `relays` and `config_first_word` in the member block, which may stand without stewards; the checks of one block's vertical and of a block tree usable on their own; Bridge::take_phases, with queries in hand ending by their own terms (audit and filter asked for included); what sections said is forgotten once no vertical remembers; a standing each of the agreement and the configuration, the stricter holds.

--- a/src/members/member_terms.hpp
+++ b/src/members/member_terms.hpp
@@ -1,5 +1,5 @@
-// What operators state of a query router's membership in a fleet that agrees on who may be out: the `member`
-// block of the operators' file (docs/fleet.md). Without the block there is no membership.
+// What operators state of a query router's part in a fleet, which agrees on who may be out and on changes of
+// configuration: the `member` block of the operators' file (docs/fleet.md). Without the block there is none.
 #pragma once
 
 #include <string>
@@ -11,15 +11,17 @@
 namespace tealcart {
 
 struct MemberTerms {
-    bool on = false;
+    bool on = false;         // stewards are named
     std::string name, zone;  // empty name: the configuration's
     std::vector<HostPort> stewards;
+    std::vector<HostPort> relays;  // of changes of configuration; none: it follows none
     // After its lease is over, the router goes on by what it last knew for so long ...
     Nanos serve_on = 24 * 3600'000'000'000;
     // ... and then leaves the front (not ready, what comes is still served), or stops: takes nothing new and
     // begins no leaf call.
     bool then_stop = false;
-    Nanos first_word = 5'000'000'000;  // not ready before the stewards' first word, or this long
+    Nanos first_word = 5'000'000'000;         // not ready before the stewards' first word, or this long
+    Nanos config_first_word = 2'000'000'000;  // the same of the relays' first word
 };
 
 }  // namespace tealcart
--- a/src/phases/phase_terms.hpp
+++ b/src/phases/phase_terms.hpp
@@ -1,7 +1,9 @@
 // What the operators state of queries in two phases. Times in whole nanoseconds.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
+#include <vector>
 
 #include "router/query_router.hpp"
 
@@ -20,6 +22,12 @@
     bool remember = true;        // whether sections' filters are asked for and kept between queries
 };
 
+// Whether what sections say of themselves is kept at all.
+inline bool any_remembers(const std::vector<PhaseTerms>& by_vertical) {
+    return std::any_of(by_vertical.begin(), by_vertical.end(),
+                       [](const PhaseTerms& p) { return p.on && p.remember; });
+}
+
 struct MemoryTerms {
     std::size_t bytes = 4 << 20;           // of all that is remembered of sections
     Nanos longest_lease = 10'000'000'000;  // a longer one is cut to this
--- a/src/phases/section_memory.cpp
+++ b/src/phases/section_memory.cpp
@@ -78,6 +78,10 @@
     return std::nullopt;
 }
 
+void SectionMemory::forget_all() {
+    while (!by_use_.empty()) drop(by_use_.back().shard);
+}
+
 void SectionMemory::forget_words_of(std::uint32_t node) {
     for (auto at = by_use_.begin(); at != by_use_.end();) {
         const std::uint32_t shard = at->shard;
--- a/src/phases/section_memory.hpp
+++ b/src/phases/section_memory.hpp
@@ -36,6 +36,7 @@
     std::optional<std::uint32_t> rules_out(std::uint32_t shard, const FindKeys& keys, Nanos now);
 
     void forget_words_of(std::uint32_t node);
+    void forget_all();
 
     std::size_t bytes() const { return bytes_; }
     std::size_t sections() const { return by_use_.size(); }
--- a/src/phases/two_phase.hpp
+++ b/src/phases/two_phase.hpp
@@ -74,6 +74,7 @@
     Rows take_rows(std::uint32_t section, std::uint64_t version, const std::vector<double>& ranks);
     void take_untold(std::uint32_t section);
 
+    const PhaseTerms& terms() const { return terms_; }  // those it began with
     State state() const { return state_; }
     Verdict verdict() const { return verdict_; }
     bool whole() const;
--- a/src/service/bridge.cpp
+++ b/src/service/bridge.cpp
@@ -35,7 +35,9 @@
       most_held_(static_cast<std::size_t>(launch.link_terms.most_held)),
       parts_a_call_(static_cast<std::size_t>(launch.link_terms.parts_a_call)),
       call_cap_(launch.terms.call_cap), phases_(launch.phases),
-      any_phases_(std::any_of(phases_.begin(), phases_.end(), [](const PhaseTerms& p) { return p.on; })),
+      may_phase_(!launch.operators.member.relays.empty() ||
+                 std::any_of(phases_.begin(), phases_.end(), [](const PhaseTerms& p) { return p.on; })),
+      remembers_(any_remembers(phases_)),
       speakers_(launch.terms.places, launch.terms.width, launch.operators.memory.distrust),
       memory_(launch.operators.memory, shards_), chance_(launch.seed + 1),
       router_(launch.terms, launch.seed) {
@@ -46,6 +48,12 @@
     }
 }
 
+void Bridge::take_standing(StandingBy by, const MemberStanding& standing) {
+    standings_[static_cast<std::size_t>(by)] = standing;
+    const auto& [a, b] = standings_;
+    standing_ = {a.ready && b.ready, a.admits && b.admits, std::min(a.no_calls_after, b.no_calls_after)};
+}
+
 void Bridge::refuse(Handle client, int status, std::string_view words) {
     front_->answer(client, {status, write_error(words), 0});
 }
@@ -56,7 +64,10 @@
         if (request.method != "GET") return front_->answer(client, {405, write_error("GET only"), 0, "GET"});
         if (!begun_ && path == "/-/ready") return refuse(client, 503, "waiting for discovery's list");
         if (stopping_ && path == "/-/ready") return refuse(client, 503, "stopping");
-        if (!standing_.ready && path == "/-/ready") return refuse(client, 503, "out of the fleet");
+        if (!standing_.ready && path == "/-/ready") {
+            const bool out = !standings_[static_cast<std::size_t>(StandingBy::agreement)].ready;
+            return refuse(client, 503, out ? "out of the fleet" : "without a current configuration");
+        }
         return front_->answer(client, {200, {}, 0});
     }
     const std::string_view name = path.substr(0, path.find('/', 1));
@@ -129,7 +140,7 @@
 
 void Bridge::take_list(const TargetList& list, ListKind kind) {
     NodeList::News news = nodes_.take(list);
-    if (any_phases_) tell_speakers(news, kind);
+    if (may_phase_) tell_speakers(news, kind);
     for (const std::uint32_t n : news.met)
         log_line("node %u is %s at %s", n, nodes_.name(n).c_str(), nodes_.address(n).c_str());
     arrived_.push_back(ListNews{kind, std::move(news.entries)});
@@ -277,7 +288,7 @@
                 piece.letter = call->letter;
                 piece.leg = part.leg;
                 piece.rows = static_cast<std::uint16_t>(q.phased->find.rows);
-                piece.wants_filter = phases_[q.vertical].remember;
+                piece.wants_filter = q.phased->machine.terms().remember;
             }
             pieces.push_back(std::move(piece));
             // A second leaf call on the same connection could not be told from the first.
--- a/src/service/bridge.hpp
+++ b/src/service/bridge.hpp
@@ -3,6 +3,7 @@
 // call's in `call_ended`. Holds no decisions.
 #pragma once
 
+#include <array>
 #include <memory>
 #include <random>
 #include <string>
@@ -34,7 +35,9 @@
     Nanos worst_overrun = 0;
 };
 
-// What a member of a fleet may do now, beside what the platform allows.
+// What a member of a fleet may do now, beside what the platform allows: by what is agreed on who is out, and
+// by the configuration it follows.
+enum class StandingBy : std::uint8_t { agreement, configuration };
 struct MemberStanding {
     bool ready = true, admits = true;
     Nanos no_calls_after = Deadlines::never;
@@ -80,7 +83,10 @@
     void begin_stop() { stopping_ = true; }
     // Of members of a fleet alone.
     void watch_outcomes(OutcomeTaker* taker) { outcomes_ = taker; }
-    void take_standing(const MemberStanding& standing) { standing_ = standing; }
+    void take_standing(StandingBy by, const MemberStanding& standing);
+    // From here on queries begin by these, one for each vertical; those in hand end by the terms they began
+    // with. To be called between two rounds.
+    void take_phases(std::vector<PhaseTerms> phases);
     // Whether a leaf call is out to a node whose name is one of these.
     template <typename Which>
     bool any_call_to(Which which) const {
@@ -209,8 +215,10 @@
     const std::size_t most_held_, parts_a_call_;
     const int call_cap_;
     std::vector<Nanos> slo_;
-    const std::vector<PhaseTerms> phases_;  // by vertical
-    const bool any_phases_;
+    std::vector<PhaseTerms> phases_;  // by vertical
+    // Some vertical is in two phases, or may come to be: what data nodes speak is kept.
+    const bool may_phase_;
+    bool remembers_;  // some vertical that is in two phases does
     bool begun_ = false, stopping_ = false;
 
     Speakers speakers_;
@@ -228,7 +236,8 @@
     };
     std::unordered_map<std::string, Handle, TextHash, std::equal_to<>> by_text_;  // the clients' ids
     std::unordered_map<std::uint32_t, Handle> by_client_;  // the query that a client's slot waits for
-    MemberStanding standing_;
+    std::array<MemberStanding, 2> standings_;              // by StandingBy
+    MemberStanding standing_;                              // the stricter of them
     OutcomeTaker* outcomes_ = nullptr;
     std::size_t held_ = 0;  // queries and parts not yet ended
     std::uint32_t last_id_ = 0;
--- a/src/service/bridge_phases.cpp
+++ b/src/service/bridge_phases.cpp
@@ -8,6 +8,12 @@
 
 namespace tealcart {
 
+void Bridge::take_phases(std::vector<PhaseTerms> phases) {
+    phases_ = std::move(phases);
+    remembers_ = any_remembers(phases_);
+    if (!remembers_) memory_.forget_all();
+}
+
 void Bridge::begin_phases(Handle h, QueryBody body, Find find, Nanos began) {
     Query& q = *queries_.find(h);
     auto text = std::make_shared<QueryText>(*q.text);
@@ -87,7 +93,7 @@
         phase_counts_.worst_overrun = std::max(phase_counts_.worst_overrun, now - p.find_until);
     }
     const bool had_recheck = p.machine.rechecked();
-    const Leg leg = p.machine.end_leg(verdict, now, [&] { return audited(phases_[q.vertical].audit); });
+    const Leg leg = p.machine.end_leg(verdict, now, [&] { return audited(p.machine.terms().audit); });
     if (was_first) phase_counts_.pruned += p.machine.pruned_in_first();
     if (p.machine.rechecked() && !had_recheck) {
         ++phase_counts_.rechecked;
@@ -134,7 +140,7 @@
             if (part.find) {
                 if (speakers_.trusted(node, now)) {
                     machine.hear(section, node, answer.word);
-                    memory_.learn(part.shard, node, answer.word, call->sent_at, now);
+                    if (remembers_) memory_.learn(part.shard, node, answer.word, call->sent_at, now);
                 }
                 return call_ended(h, Outcome::ok), true;
             }
--- a/src/service/membership.cpp
+++ b/src/service/membership.cpp
@@ -53,7 +53,8 @@
     const bool cut = now >= lease_.no_calls_after(now);
     if (cut != cut_) hand_on(list_.cut(cut));
     cut_ = cut;
-    bridge_.take_standing({lease_.ready(now) && !out_, lease_.admits(now), lease_.no_calls_after(now)});
+    bridge_.take_standing(StandingBy::agreement,
+                          {lease_.ready(now) && !out_, lease_.admits(now), lease_.no_calls_after(now)});
 }
 
 void Membership::after_round() {
--- a/src/terms/operator_terms.cpp
+++ b/src/terms/operator_terms.cpp
@@ -55,7 +55,6 @@
     BlockReader in(block, mistakes);
     in.no_label();
     MemberTerms t;
-    t.on = true;
     const auto name = [&](const char* attribute) {
         std::string text = in.text(attribute, "");
         if (text.size() > 128 ||
@@ -66,16 +65,24 @@
     };
     t.name = name("name");
     t.zone = name("zone");
-    for (const std::string& steward : in.texts("stewards")) {
-        if (const auto address = read_host_port(steward))
-            t.stewards.push_back(*address);
-        else
-            in.wrong(block.at, "the steward '" + steward + "' is no address with a port");
-    }
-    if (t.stewards.empty()) in.wrong(block.at, "'stewards' names none");
+    const auto addresses = [&](const char* attribute, const char* what) {
+        std::vector<HostPort> read;
+        for (const std::string& text : in.texts(attribute)) {
+            if (const auto address = read_host_port(text))
+                read.push_back(*address);
+            else
+                in.wrong(block.at, std::string("the ") + what + " '" + text + "' is no address with a port");
+        }
+        return read;
+    };
+    t.stewards = addresses("stewards", "steward");
+    t.relays = addresses("relays", "relay");
+    t.on = !t.stewards.empty();
+    if (t.stewards.empty() && t.relays.empty()) in.wrong(block.at, "'stewards' and 'relays' name none");
     t.serve_on = in.span("serve_on", t.serve_on, 0, 365 * 24 * 3600 * second);
     t.then_stop = in.choice("then", 0, {"leave", "stop"}) == 1;
     t.first_word = in.span("first_word", t.first_word, 0, 3600 * second);
+    t.config_first_word = in.span("config_first_word", t.config_first_word, 0, 3600 * second);
     in.finish();
     return t;
 }
@@ -83,11 +90,15 @@
 }  // namespace
 
 OperatorTerms read_operator_terms(std::string_view text, std::string_view source) {
-    const HclBlock root = parse_hcl(text, source);
+    OperatorTerms terms = read_operator_terms(parse_hcl(text, source), source);
+    terms.text = text;
+    return terms;
+}
+
+OperatorTerms read_operator_terms(const HclBlock& root, std::string_view source) {
     std::vector<HclMistake> mistakes;
     OperatorTerms terms;
     terms.source = source;
-    terms.text = text;
     BlockReader in(root, mistakes);
     if (const HclBlock* log = in.only_block("log")) {
         BlockReader of(*log, mistakes);
@@ -144,25 +155,29 @@
     return read_operator_terms(text, path);
 }
 
+std::optional<std::size_t> phased_vertical(const StatedPhases& stated, const Terms& terms,
+                                           const std::vector<std::string>& verticals,
+                                           std::vector<HclMistake>& mistakes) {
+    const auto found = std::find(verticals.begin(), verticals.end(), stated.vertical);
+    const auto v = static_cast<std::size_t>(found - verticals.begin());
+    const std::size_t before = mistakes.size();
+    if (found == verticals.end())
+        mistakes.push_back({stated.at, "the settings name no vertical '" + stated.vertical + "'"});
+    else if (terms.verticals[v].effect != Effect::repeatable)
+        mistakes.push_back(
+            {stated.at, "'" + stated.vertical + "' is not repeatable and can't be put in two phases"});
+    else if (terms.verticals[v].second_step > 0)
+        mistakes.push_back(
+            {stated.at, "'" + stated.vertical + "' has a second step and can't be put in two phases"});
+    return mistakes.size() == before ? std::optional(v) : std::nullopt;
+}
+
 std::vector<PhaseTerms> phases_by_vertical(const OperatorTerms& stated, const Terms& terms,
                                            const std::vector<std::string>& verticals) {
     std::vector<PhaseTerms> by_vertical(verticals.size());
     std::vector<HclMistake> mistakes;
-    for (const StatedPhases& s : stated.phases) {
-        const auto found = std::find(verticals.begin(), verticals.end(), s.vertical);
-        if (found == verticals.end()) {
-            mistakes.push_back({s.at, "the settings name no vertical '" + s.vertical + "'"});
-            continue;
-        }
-        const auto v = static_cast<std::size_t>(found - verticals.begin());
-        if (terms.verticals[v].effect != Effect::repeatable)
-            mistakes.push_back(
-                {s.at, "'" + s.vertical + "' is not repeatable and can't be put in two phases"});
-        else if (terms.verticals[v].second_step > 0)
-            mistakes.push_back(
-                {s.at, "'" + s.vertical + "' has a second step and can't be put in two phases"});
-        by_vertical[v] = s.terms;
-    }
+    for (const StatedPhases& s : stated.phases)
+        if (const auto v = phased_vertical(s, terms, verticals, mistakes)) by_vertical[*v] = s.terms;
     if (!mistakes.empty()) throw HclMistakes(stated.source, std::move(mistakes));
     return by_vertical;
 }
--- a/src/terms/operator_terms.hpp
+++ b/src/terms/operator_terms.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,9 +51,17 @@
 
 // Throws HclMistakes with all that is wrong.
 OperatorTerms read_operator_terms(std::string_view text, std::string_view source);
+// The same of a file's blocks; without its text.
+OperatorTerms read_operator_terms(const HclBlock& root, std::string_view source);
 // The same of a file; throws Malformed where it can't be read.
 OperatorTerms read_operator_file(const std::string& path);
 
+// The place of the vertical that a block names; none, and the mistake noted, where the deployment has no such
+// vertical, or it may not be put in two phases.
+std::optional<std::size_t> phased_vertical(const StatedPhases& stated, const Terms& terms,
+                                           const std::vector<std::string>& verticals,
+                                           std::vector<HclMistake>& mistakes);
+
 // What is stated for each vertical of the deployment, by its place. Throws HclMistakes where a block names no
 // vertical, or one that may not be put in two phases.
 std::vector<PhaseTerms> phases_by_vertical(const OperatorTerms& stated, const Terms& terms,
--- a/tests/hcl_test.cpp
+++ b/tests/hcl_test.cpp
@@ -205,3 +205,27 @@
     CHECK(m.text.find("#   cost  = \"45ms\"") != std::string::npos);
     CHECK(read_operator_terms(m.text, "new.hcl").calls.stated == false);
 }
+
+TEST_CASE("the member block names relays, with stewards or without; mistakes are told by place") {
+    const MemberTerms t =
+        read_operator_terms("member {\n relays = [\"127.0.0.1:7\", \"127.0.0.1:8\"]\n}", "f").member;
+    CHECK_FALSE(t.on);
+    CHECK(t.relays.size() == 2);
+    CHECK(t.relays.at(1).port == 8);
+    CHECK(t.config_first_word == 2000 * test::ms);
+    CHECK(read_operator_terms("member {\n stewards = [\"127.0.0.1:7\"]\n}", "f").member.relays.empty());
+    const MemberTerms both = read_operator_terms(
+                                 "member {\n stewards = [\"127.0.0.1:7\"]\n"
+                                 " relays = [\"127.0.0.1:8\"]\n config_first_word = \"1s\"\n}",
+                                 "f")
+                                 .member;
+    CHECK(both.on);
+    CHECK(both.config_first_word == 1000 * test::ms);
+    CHECK(wrong_in("member {}") == "f:1:1: 'stewards' and 'relays' name none");
+    CHECK(wrong_in("\n member {\n relays = [\"here\"]\n config_first_word = 2\n}") ==
+          "f:2:2: the relay 'here' is no address with a port\n"
+          "f:2:2: 'stewards' and 'relays' name none\n"
+          "f:4:22: 'config_first_word' is a number, not a time such as \"250ms\"");
+    CHECK(wrong_in("member {\n relays = \"127.0.0.1:7\"\n}") ==
+          "f:1:1: 'stewards' and 'relays' name none\nf:2:11: 'relays' is a string, not a list of strings");
+}
--- a/tests/phases_test.cpp
+++ b/tests/phases_test.cpp
@@ -146,6 +146,9 @@
         REQUIRE(memory.sections() <= shards);
     }
     CHECK(ruled_out > 100);
+    memory.forget_all();
+    CHECK(memory.sections() == 0);
+    CHECK(memory.bytes() == 0);
 }
 
 TEST_CASE("extents rule out what lies beyond them, and fields without one rule out nothing") {
