A router follows the fleet's changes of configuration through its relays

Cause: a change of what the operators' file says of logs and of queries in two phases held at the next start alone. Change: Configuration lays a document's entries over the file and checks them as a whole, without I/O; Follower watches a relay by version, hands a version to the bridge and the log in one handler between two rounds, says it once the round after is played, refuses by name what is wrong, never goes back to an older one, asks for pages where a digest does not fit, passes over a relay that is dead or grants no lease, and says farewell beside the membership's. `PostWatch::pass_over` for it. Made only where `relays` are named. /-/ready waits for the relays' first word and what that tells of, or `config_first_word`. A block that holds at the start only is refused. Without relays the same descriptors and threads as without an operators' file; with them one descriptor more.

--- /dev/null
+++ b/src/service/follower.cpp
@@ -0,0 +1,164 @@
+#include "service/follower.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+#include <utility>
+
+#include "service/log.hpp"
+
+namespace tealcart {
+namespace {
+
+constexpr Nanos ms = 1'000'000;
+constexpr Nanos farewell_within = 300 * ms;
+constexpr int most_without_lease = 3;    // answers in a row, after its own is over
+constexpr Nanos least_pause = 200 * ms;  // between calls that bring nothing and were not kept waiting
+const char* const standings[] = {"no relay has spoken yet", "its lease holds",
+                                 "its lease is over; it goes on by the version it has", "cut off"};
+
+MemberTerms lease_terms(MemberTerms terms) {
+    terms.first_word = terms.config_first_word;
+    return terms;
+}
+
+unsigned long long number(std::uint64_t version) { return version; }
+
+}  // namespace
+
+Follower::Follower(boost::asio::io_context& io, Timekeeper& time, const Launch& launch, Bridge& bridge)
+    : time_(time), terms_(lease_terms(launch.operators.member)),
+      name_(terms_.name.empty() ? launch.name : terms_.name), bridge_(bridge), log_(launch.operators.log),
+      configuration_({launch.operators.log, launch.phases}, launch.terms, launch.link_terms.verticals),
+      lease_(terms_, time.now(), static_cast<std::uint64_t>(time.now())),
+      watch_(io, time, *this, follower_path, "relay", terms_.relays, std::hash<std::string>{}(name_),
+             launch.seed | 1),
+      ready_by_(time.now() + terms_.first_word) {
+    look();
+}
+
+void Follower::stop() {
+    time_.due.drop(pause_);
+    watch_.stop();
+}
+
+void Follower::look() {
+    const Nanos now = time_.now();
+    const Standing standing = lease_.standing(now);
+    if (standing != standing_)
+        log_line("configuration, as %s, life %llu: %s", name_.c_str(), number(lease_.life()),
+                 standings[static_cast<int>(standing)]);
+    standing_ = standing;
+    bridge_.take_standing(StandingBy::configuration, {lease_.ready(now) && (caught_up_ || now >= ready_by_),
+                                                      lease_.admits(now), lease_.no_calls_after(now)});
+}
+
+Nanos Follower::next_change() const {
+    const Nanos now = time_.now(), next = lease_.next_change(now);
+    return caught_up_ || now >= ready_by_ ? next : std::min(next, ready_by_);
+}
+
+PostTaker::Call Follower::change_call() {
+    FollowerCall call;
+    call.word = {name_, lease_.life(), terms_.serve_on, acts_on_, refused_, why_};
+    call.zone = terms_.zone;
+    call.leaves = leaves_;
+    call.watched = {copy_.version(), copy_.digest(), copy_.wants_pages(), copy_.wants_after(), 0};
+    if (!leaves_) call.watched.wait = lease_.wait(false);
+    wait_ = call.watched.wait;
+    return {write_follower_call(call), wait_};
+}
+
+// Guards against a version of which a part would hold in one round and the rest in the next: handlers run
+// between rounds, and all of it is handed over in one.
+void Follower::take_over() {
+    auto read = configuration_.read(copy_.document());
+    if (auto* refusal = std::get_if<Configuration::Refusal>(&read)) {
+        refused_ = copy_.version();
+        why_ = std::move(refusal->why);
+        return log_about(LogLevel::warn, {}, "configuration version %llu is refused, %llu stands: %s",
+                         number(refused_), number(taken_), why_.c_str());
+    }
+    auto& settings = std::get<Configuration::Settings>(read);
+    taken_ = copy_.version();
+    refused_ = 0;
+    why_.clear();
+    // Told where the more talkative of both log levels would have it.
+    const bool quieter = settings.log.level > log_.level;
+    log_ = settings.log;
+    if (!quieter) start_log(log_);
+    log_line("configuration version %llu: %zu entries, %zu changed", number(taken_), copy_.document().size(),
+             configuration_.acted_on(copy_.document()));
+    if (quieter) start_log(log_);
+    bridge_.take_phases(std::move(settings.phases));
+}
+
+void Follower::on_changes(Nanos sent, const ChangesAnswer& answer) {
+    if (leaves_) {
+        left_ = true;
+        return;
+    }
+    using Taken = changes::Copy::Taken;
+    const Nanos now = time_.now();
+    if (answer.lease > 0) lease_.renewed(sent, answer.lease);
+    const auto before = std::tuple(copy_.version(), copy_.wants_pages(), copy_.wants_after());
+    Taken taken = Taken::known;
+    if (answer.delta) taken = copy_.take(*answer.delta);
+    if (answer.page) taken = copy_.take(*answer.page);
+    const bool further = before != std::tuple(copy_.version(), copy_.wants_pages(), copy_.wants_after());
+    if (taken == Taken::taken) take_over();
+    if (taken == Taken::spoilt)
+        log_about(LogLevel::warn, {}, "configuration of relay %s:%u does not fit its digest; %llu stands",
+                  watch_.address().host.c_str(), watch_.address().port, number(taken_));
+    if (answer.version < copy_.version() && std::exchange(told_behind_, answer.version) != answer.version)
+        log_line("relay %s:%u has configuration version %llu; %llu stands", watch_.address().host.c_str(),
+                 watch_.address().port, number(answer.version), number(copy_.version()));
+    if (answer.version >= copy_.version()) told_behind_ = 0;
+    without_lease_ = answer.lease > 0 || now < lease_.lease_until() ? 0 : without_lease_ + 1;
+    caught_up_ |= answer.lease > 0 && copy_.version() >= answer.version;
+    look();
+    // A relay that answers at once and brings nothing is not asked again at once.
+    const Nanos earliest = sent + std::max(wait_, least_pause);
+    if (!further && time_.now() < earliest)
+        time_.due.move(pause_, earliest, *this, Handle{});
+    else
+        go_on();
+}
+
+void Follower::on_due(Handle, std::uint64_t) {
+    pause_ = Deadlines::none;
+    go_on();
+}
+
+void Follower::go_on() {
+    owes_next_ = true;
+    if (bridge_.next_round() == Deadlines::never) after_round();
+}
+
+void Follower::after_round() {
+    acts_on_ = taken_;
+    if (!std::exchange(owes_next_, false)) return;
+    if (without_lease_ < most_without_lease || terms_.relays.size() == 1) return watch_.next();
+    // It reaches no steward, and another may.
+    without_lease_ = 0;
+    watch_.pass_over("it grants no lease");
+}
+
+void Follower::on_later_life(std::uint64_t last_life) {
+    lease_.outlived(last_life);
+    look();
+}
+
+bool Follower::farewell() {
+    const Nanos now = time_.now();
+    if (farewell_began_ == 0) {
+        farewell_began_ = now;
+        leaves_ = true;
+        time_.due.drop(pause_);
+        if (standing_ != Standing::member) return true;
+        watch_.say_now();
+    }
+    return left_ || now - farewell_began_ > farewell_within;
+}
+
+}  // namespace tealcart
--- /dev/null
+++ b/src/service/follower.hpp
@@ -0,0 +1,64 @@
+// A query router's side of the fleet's changes of configuration: it watches a relay by version, takes each
+// over between two rounds as a whole or not at all, and says which it acts on, or refuses and why. Made only
+// where the `member` block names relays. docs/changes.md.
+#pragma once
+
+#include "changes/document.hpp"
+#include "members/configuration.hpp"
+#include "members/member_lease.hpp"
+#include "service/bridge.hpp"
+#include "service/launch.hpp"
+#include "wire/change_watch.hpp"
+
+namespace tealcart {
+
+class Follower final : public DueHandler, private ChangeTaker {
+  public:
+    Follower(boost::asio::io_context& io, Timekeeper& time, const Launch& launch, Bridge& bridge);
+
+    void start() { watch_.start(); }
+    void stop();
+
+    // To be called before each round: what the clock alone has changed.
+    void look();
+    // And after it: what was taken over before is acted on.
+    void after_round();
+    Nanos next_change() const;
+    // Says farewell; true once it was heard, or has been waited for long enough.
+    bool farewell();
+    void on_due(Handle, std::uint64_t what) override;
+
+    // 0: what it was started with.
+    std::uint64_t acts_on() const { return acts_on_; }
+    std::uint64_t refused() const { return refused_; }
+
+  private:
+    PostTaker::Call change_call() override;
+    void on_changes(Nanos sent, const ChangesAnswer& answer) override;
+    void on_later_life(std::uint64_t last_life) override;
+    void take_over();
+    void go_on();
+
+    Timekeeper& time_;
+    const MemberTerms terms_;
+    const std::string name_;
+    Bridge& bridge_;
+    LogTerms log_;  // that it acts on
+    changes::Copy copy_;
+    Configuration configuration_;
+    MemberLease lease_;
+    ChangeWatch watch_;
+    std::uint64_t taken_ = 0, acts_on_ = 0, refused_ = 0;  // versions; taken: by the bridge, before its round
+    std::string why_;                                      // of the refusal
+    std::uint64_t told_behind_ = 0;  // the older version that a relay had, where that was told
+    Nanos wait_ = 0;                 // of the call that is out, or was last
+    int without_lease_ = 0;          // answers in a row
+    const Nanos ready_by_;           // without the relays' word
+    bool caught_up_ = false;         // with what the relays' first word told of
+    bool owes_next_ = false, leaves_ = false, left_ = false;
+    Standing standing_ = Standing::unheard;
+    Nanos farewell_began_ = 0;
+    Deadlines::Ticket pause_ = Deadlines::none;
+};
+
+}  // namespace tealcart
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -32,6 +32,9 @@
       links_(io_, time_, launch_.link_terms, bridge_, links_of(launch_)),
       member_(launch_.operators.member.on ? std::make_unique<Membership>(io_, time_, launch_, bridge_)
                                           : nullptr),
+      follower_(launch_.operators.member.relays.empty()
+                    ? nullptr
+                    : std::make_unique<Follower>(io_, time_, launch_, bridge_)),
       watch_(io_, time_, member_ ? static_cast<ListTaker&>(*member_) : bridge_, launch_.discovery,
              static_cast<std::uint32_t>(launch_.terms.places), launch_.seed + 2),
       timer_(io_) {
@@ -39,6 +42,7 @@
     bridge_.connect(front_, links_);
     bridge_.take_list(launch_.known, ListKind::cached);
     if (member_) member_->start();
+    if (follower_) follower_->start();
     front_.listen(launch_.listen.host, launch_.listen.port);
     watch_.start(launch_.known.generation);
     list_by_ = time_.now() + list_within;
@@ -95,10 +99,12 @@
     }
     time_.due.tell(time_.now());
     if (member_) member_->look();
+    if (follower_) follower_->look();
     if (!bridge_.begun() && (watch_.told() || time_.now() >= list_by_)) bridge_.begin();
     if (bridge_.next_round() <= time_.now()) {
         bridge_.run_round();
         if (member_) member_->after_round();
+        if (follower_) follower_->after_round();
     }
     return !may_exit();
 }
@@ -106,6 +112,7 @@
 void Service::set_timer() {
     Nanos at = std::min(time_.due.next(), bridge_.next_round());
     if (member_) at = std::min(at, member_->next_change());
+    if (follower_) at = std::min(at, follower_->next_change());
     if (stop_began_ > 0) at = std::min(at, std::max(time_.now() + ms, stop_began_ + arrivals_after_stop));
     at = std::clamp(at, time_.now(), time_.now() + heartbeat);
     if (timer_at_ != Deadlines::never && timer_at_ <= at) return;
@@ -131,11 +138,14 @@
     if (stop_began_ == 0 || now - stop_began_ < arrivals_after_stop) return false;
     front_.close_idle(now - arrivals_after_stop);
     if (front_.open() > 0) return false;
-    if (member_ && !member_->farewell()) return false;
+    // Both at once.
+    const bool left = !member_ || member_->farewell();
+    if ((follower_ && !follower_->farewell()) || !left) return false;
     if (!front_.end_listening()) return false;
     log_line("stopped after %lld ms", static_cast<long long>((now - stop_began_) / ms));
     watch_.stop();
     if (member_) member_->stop();
+    if (follower_) follower_->stop();
     links_.close_all();
     signals_.cancel();
     timer_.cancel();
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 
 #include "service/bridge.hpp"
+#include "service/follower.hpp"
 #include "service/launch.hpp"
 #include "service/membership.hpp"
 
@@ -27,6 +28,7 @@
 
     std::uint16_t port() const { return front_.port(); }
     const Bridge& bridge() const { return bridge_; }
+    const Follower* follower() const { return follower_.get(); }  // null: none
 
   private:
     void await_signal();
@@ -43,6 +45,7 @@
     ClientFront front_;
     NodeLinks links_;
     std::unique_ptr<Membership> member_;  // of a fleet, where the operators' file says so
+    std::unique_ptr<Follower> follower_;  // of its changes of configuration, the same
     DiscoveryWatch watch_;
     boost::asio::steady_timer timer_;
     Nanos timer_at_ = Deadlines::never, stop_began_ = 0, list_by_ = 0;
--- a/src/wire/change_watch.hpp
+++ b/src/wire/change_watch.hpp
@@ -36,6 +36,8 @@
     void next() { watch_.next(); }
     // Whatever is out is dropped, and a call made anew: something has to be said at once.
     void say_now() { watch_.say_now(); }
+    // In place of `next`: the answers are of no use, the next of the addresses is called.
+    void pass_over(const char* why) { watch_.pass_over(why); }
     // A call is out, and its answer is waited for: only then is say_now no more than one call.
     bool waits() const { return watch_.waits(); }
     const HostPort& address() const { return watch_.address(); }
--- a/src/wire/post_watch.hpp
+++ b/src/wire/post_watch.hpp
@@ -50,6 +50,8 @@
     void next();
     // Whatever is out is dropped, and a call made anew: something has to be said at once.
     void say_now() { go_to(at_, 0); }
+    // In place of `next`: the answers are of no use, the next of the addresses is called.
+    void pass_over(const char* why) { give_up(why); }
     // A call is out, and its answer is waited for.
     bool waits() const { return connection_ && sent_at_ > 0 && !owes_next_; }
     const HostPort& address() const { return addresses_[at_]; }
