--- a/tests/follower_test.cpp
+++ b/tests/follower_test.cpp
@@ -468,9 +468,9 @@
 }
 
 TEST_CASE("it is not ready before the relays' first word and what that tells of, or the time for it") {
-    World w(1, fleet_text(), "", "config_first_word = \"600ms\"", "5.0", false);
+    World w(1, fleet_text(), "", "config_first_word = \"1500ms\"", "5.0", false);
     ScriptedRelay& relay = *w.relays[0];
-    const bool speaks = GENERATE(true, false);
+    enum { speaks, is_silent, has_no_lease, spoils } how = GENERATE(speaks, is_silent, has_no_lease, spoils);
     relay.publish({{"two_phase.part", ""}});
     relay.mute = true;
     w.start();
@@ -478,15 +478,20 @@
     w.until([&] { return w.service->bridge().begun() && !relay.calls.empty(); });
     CHECK_FALSE(w.ready());
     CHECK(w.ask(w.asking()).status == 200);  // what comes is served
-    if (speaks) {
-        relay.answer(relay.calls[0], *relay.door->peers[0]);
+    if (how == has_no_lease) relay.lease = 0;
+    relay.spoils_deltas = how == spoils;
+    if (how != is_silent) relay.answer(relay.calls[0], *relay.door->peers[0]);
+    if (how == spoils) w.until([&] { return relay.calls.size() > 1; });  // and its pages are not answered
+    const std::uint64_t version = how == speaks || how == has_no_lease ? 1 : 0;
+    w.until([&] { return w.follower().acts_on() == version; });
+    if (how == speaks) {
         w.until([&] { return w.ready(); });
-        CHECK(w.follower().acts_on() == 1);
     } else {
+        CHECK_FALSE(w.ready());
         w.until([&] { return w.ready(); });
-        CHECK(std::chrono::steady_clock::now() - began >= std::chrono::milliseconds(550));
-        CHECK(w.follower().acts_on() == 0);
+        CHECK(std::chrono::steady_clock::now() - began >= std::chrono::milliseconds(1400));
     }
+    CHECK(w.follower().acts_on() == version);
 }
 
 TEST_CASE("asked to stop it says farewell, and waits for no relay that is silent") {
