--- a/tests/follower_test.cpp
+++ b/tests/follower_test.cpp
@@ -470,7 +470,7 @@
 TEST_CASE("it is not ready before the relays' first word and what that tells of, or the time for it") {
     World w(1, fleet_text(), "", "config_first_word = \"1500ms\"", "5.0", false);
     ScriptedRelay& relay = *w.relays[0];
-    enum { speaks, is_silent, has_no_lease, spoils } how = GENERATE(speaks, is_silent, has_no_lease, spoils);
+    const std::string how = GENERATE("speaks", "is silent", "has no lease", "spoils");
     relay.publish({{"two_phase.part", ""}});
     relay.mute = true;
     w.start();
@@ -478,13 +478,13 @@
     w.until([&] { return w.service->bridge().begun() && !relay.calls.empty(); });
     CHECK_FALSE(w.ready());
     CHECK(w.ask(w.asking()).status == 200);  // what comes is served
-    if (how == has_no_lease) relay.lease = 0;
-    relay.spoils_deltas = how == spoils;
-    if (how != is_silent) relay.answer(relay.calls[0], *relay.door->peers[0]);
-    if (how == spoils) w.until([&] { return relay.calls.size() > 1; });  // and its pages are not answered
-    const std::uint64_t version = how == speaks || how == has_no_lease ? 1 : 0;
+    if (how == "has no lease") relay.lease = 0;
+    relay.spoils_deltas = how == "spoils";
+    if (how != "is silent") relay.answer(relay.calls[0], *relay.door->peers[0]);
+    if (how == "spoils") w.until([&] { return relay.calls.size() > 1; });  // and its pages are not answered
+    const std::uint64_t version = how == "speaks" || how == "has no lease" ? 1 : 0;
     w.until([&] { return w.follower().acts_on() == version; });
-    if (how == speaks) {
+    if (how == "speaks") {
         w.until([&] { return w.ready(); });
     } else {
         CHECK_FALSE(w.ready());
