--- a/src/changes/change_state.hpp
+++ b/src/changes/change_state.hpp
@@ -113,6 +113,7 @@
     Nanos now() const { return now_; }
     Nanos hold_until() const { return hold_until_; }
     bool halted() const { return halted_; }
+    std::uint64_t halted_version() const { return tripped_; }  // the last that halted; 0: none did
     const std::string& halted_for() const { return halted_for_; }
     const Document& document() const { return document_; }
     std::uint64_t digest() const { return digest_; }
@@ -134,6 +135,7 @@
     std::size_t members() const { return members_.size(); }  // that are known
     // Of the last relay word that was taken of this life; 0: none.
     std::uint64_t last_number(const std::string& relay, std::uint64_t life) const;
+    std::uint64_t last_life(const std::string& relay) const;  // 0: it is not known
     bool knows_later_life(const std::string& relay, std::uint64_t life) const;
     // Of the last command: how many members, relays and entries were looked at; for tests of its cost.
     std::uint64_t looked_at() const { return looked_at_; }
