--- a/examples/member.hcl
+++ b/examples/member.hcl
@@ -2,4 +2,5 @@
 member {
   zone     = "z"
   stewards = ["127.0.0.1:7201", "127.0.0.1:7202", "127.0.0.1:7203"]
+  relays   = ["127.0.0.1:7301", "127.0.0.1:7302"]  # of changes of configuration: docs/changes.md
 }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -20,6 +20,7 @@
 constexpr Nanos first_wait = 200 * ms, least_wait = 50 * ms;
 constexpr std::size_t most_exceptions = 20, most_deltas = 1000, most_delta_bytes = 8u << 20;
 constexpr std::size_t longest_delta = 256 * 1024;  // pages beyond it
+constexpr std::size_t most_at_hand = 16;           // deltas, for followers at different versions
 constexpr std::size_t spare_clients = 64;          // for operators, and followers that connect anew
 constexpr int handlers_a_turn = 4096;
 enum Due : std::uint64_t { speak };
@@ -138,6 +139,7 @@
     answer.version = copy_.version();
     if (w.watched.knows >= copy_.version()) return answer;
     if (!w.watched.wants_pages) {
+        if (deltas_.size() >= most_at_hand) deltas_.clear();
         const auto [it, is_new] = deltas_.try_emplace(w.watched.knows);
         if (is_new) it->second = history_.since(w.watched.knows);
         if (it->second && bytes_of(*it->second) <= longest_delta) {
--- a/src/standin/change_rig.cpp
+++ b/src/standin/change_rig.cpp
@@ -9,17 +9,6 @@
 using Ms = std::chrono::milliseconds;
 constexpr Nanos ms = 1'000'000;
 
-RigPlan plan_of(const ChangePlan& plan) {
-    RigPlan rig;
-    rig.programs = plan.programs;
-    rig.routers = 1;
-    rig.nodes = 4;
-    rig.gap_ms = 500;
-    rig.budgets = " changes {\n  lease = \"" + plan.lease + "\"\n  drift = \"" + plan.drift + "\"\n" +
-                  plan.changes + "\n }";
-    return rig;
-}
-
 std::uint64_t start_of(const Timekeeper& time) { return static_cast<std::uint64_t>(time.now()); }
 
 }  // namespace
@@ -76,8 +65,23 @@
     watch_.next();
 }
 
+RigPlan ChangeRig::rig_plan() const {
+    RigPlan r;
+    r.programs = plan.programs;
+    r.routers = 1;
+    r.nodes = 4;
+    r.gap_ms = 500;
+    r.budgets = " changes {\n  lease = \"" + plan.lease + "\"\n  drift = \"" + plan.drift + "\"\n" +
+                plan.changes + "\n }";
+    std::string list;
+    for (const std::uint16_t port : ports_)
+        list += (list.empty() ? "\"" : ", \"") + std::string("127.0.0.1:") + std::to_string(port) + "\"";
+    if (plan.router) r.member = " relays = [" + list + "]\n";
+    return r;
+}
+
 ChangeRig::ChangeRig(boost::asio::io_context& in, ChangePlan p)
-    : plan(std::move(p)), rig(in, plan_of(plan)), io_(in), ports_(free_ports(plan.relays)),
+    : ports_(free_ports(p.relays)), plan(std::move(p)), rig(in, rig_plan()), io_(in),
       timer_(std::make_unique<boost::asio::steady_timer>(in)) {
     relays.resize(plan.relays);
     std::string stewards;
--- a/src/standin/change_rig.hpp
+++ b/src/standin/change_rig.hpp
@@ -52,6 +52,7 @@
     std::string lease = "2s", drift = "300ms";
     std::string changes;  // further attributes of the stewards' block
     std::string relay;    // of each relay's
+    bool router = false;  // the rig's query router, r0, follows the relays too
 };
 
 class ChangeRig {
@@ -80,8 +81,10 @@
 
   private:
     void tick();
+    RigPlan rig_plan() const;
 
     Timekeeper time_;  // outlives the followers
+    std::vector<std::uint16_t> ports_;
 
   public:
     ChangePlan plan;
@@ -91,7 +94,6 @@
 
   private:
     boost::asio::io_context& io_;
-    std::vector<std::uint16_t> ports_;
     std::size_t files_ = 0;
     std::unique_ptr<boost::asio::steady_timer> timer_;
 };
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -14,14 +14,15 @@
 
 struct Changes {
     // Further attributes of the stewards' block and of each relay's.
-    explicit Changes(const std::string& stewards = "", const std::string& relay = "")
-        : rig(io, plan_of(stewards, relay)) {}
+    explicit Changes(const std::string& stewards = "", const std::string& relay = "", bool router = false)
+        : rig(io, plan_of(stewards, relay, router)) {}
 
-    static ChangePlan plan_of(const std::string& stewards, const std::string& relay) {
+    static ChangePlan plan_of(const std::string& stewards, const std::string& relay, bool router) {
         ChangePlan plan;
         plan.programs = PROGRAMS;
         plan.changes = stewards;
         plan.relay = relay;
+        plan.router = router;
         return plan;
     }
     Follower& follow(const std::string& name, std::vector<std::size_t> relays,
@@ -332,3 +333,24 @@
     CHECK(late.pages >= 8);
     CHECK(late.has_lease());
 }
+
+TEST_CASE(
+    "a query router takes versions over through the relays, refuses what it can't read, and goes back") {
+    Changes c("  halt_refused = 1\n", "", true);
+    const auto said = [&](const std::string& words) {
+        return c.rig.until([&] { return c.rig.rig.routers[0]->said(words); });
+    };
+    REQUIRE(c.all_live(1));
+    CHECK(c.config({"set", c.rig.entry("log", "level = \"info\""), "--wait"}) == 0);
+    CHECK(said("configuration version 1: 1 entries, 1 changed"));
+    REQUIRE(c.config({"set", c.rig.entry("log", "volume = 11")}) == 0);
+    CHECK(said("configuration version 2 is refused, 1 stands"));
+    CHECK(c.until([&] { return c.named("refusing", "r0"); }));
+    CHECK(c.rig.changes()["in_force"] == 1);
+    // The relay that it follows is killed meanwhile, whichever it is.
+    const std::size_t at = c.rig.relay_status(0)["members"] == 1 ? 0 : 1;
+    c.rig.relays[at]->signal(SIGKILL);
+    CHECK(c.config({"back", "1", "--wait"}) == 0);
+    CHECK(said("configuration version 3: 1 entries"));
+    CHECK(c.until([&] { return !c.named("refusing", "r0"); }));
+}
