docs/CAPACITY.md and make capacity, which writes its tables out of size and slopes

Cause: nothing told what each role takes at 3,600 routers and 81,000 nodes, and what is short first. Partial: the leader's cost of a member's call is not measured yet; figures of lists are those of before.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 FLAGS ?=
 
-.PHONY: packages build test lint run run-control run-fleet interop-xds clean
+.PHONY: packages build test lint capacity run run-control run-fleet interop-xds clean
 
 packages:
 	scripts/packages
@@ -22,6 +22,14 @@
 	cmake --build $(BUILD)-measure -j4 --target measure_$(subst -,_,$*)
 	$(BUILD)-measure/measure_$(subst -,_,$*)
 
+# The tables of docs/CAPACITY.md out of size and slopes; with SIZE=FILE of another size, to $(BUILD)/CAPACITY.md.
+capacity:
+	cmake -S . -B $(BUILD)-measure -DCMAKE_BUILD_TYPE=Release -DTEALCART_TESTS=OFF -DTEALCART_EXAMPLES=OFF \
+	    -DTEALCART_MEASURE=ON $(FLAGS)
+	cmake --build $(BUILD)-measure -j4 --target capacity
+	mkdir -p $(BUILD)
+	$(BUILD)-measure/capacity $(if $(SIZE),--size $(SIZE) --out $(BUILD)/CAPACITY.md)
+
 # The format of every source file, and the module's limits: 810 lines, blank ones too, of 110 characters.
 lint:
 	clang-format --dry-run --Werror $$(find src tests measure -name '*.cpp' -o -name '*.hpp')
--- /dev/null
+++ b/measure/capacity/tables.cpp
@@ -0,0 +1,576 @@
+// The tables of docs/CAPACITY.md. What is said in them stands here; each figure is size x slope.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <stdexcept>
+
+#include "capacity/capacity.hpp"
+
+namespace tealcart::capacity {
+namespace {
+
+constexpr std::size_t longest_line = 180;
+
+class Rows {
+  public:
+    Rows(std::string name, std::vector<std::string> head) : table_{std::move(name), {}}, width_(head.size()) {
+        row(std::move(head));
+        row(std::vector<std::string>(width_, "---"));
+    }
+    void row(std::vector<std::string> cells) {
+        std::string line = "|";
+        for (const std::string& cell : cells) line += " " + cell + " |";
+        if (cells.size() != width_ || line.size() > longest_line)
+            throw std::runtime_error("a row of table '" + table_.name + "' is too long: " + line);
+        table_.text += line + "\n";
+    }
+    Table done() { return std::move(table_); }
+
+  private:
+    Table table_;
+    std::size_t width_;
+};
+
+std::string rate(double a_second) { return figure(a_second) + "/s"; }
+std::string flow(double bytes_a_second) {
+    const std::string text = bytes(bytes_a_second);
+    return std::isnan(bytes_a_second) ? text : text + "/s";
+}
+std::string core(double cores) { return std::isnan(cores) ? figure(cores) : figure(100 * cores) + "%"; }
+std::string mb(double value) { return bytes(value * 1e6); }
+std::string in_10k(double share) { return figure(share * 1e4) + " in 10,000"; }
+std::string per_cent(double share) { return fmt::format("{:.2f}%", 100 * share); }
+
+// What the tables share: the size, its load, the slopes, and what a moment asks of control.
+struct Model {
+    const Size& size;
+    const Slopes& slopes;
+    const Load load;
+    double routers, nodes, peak, cold_s, told_s;
+
+    Model(const Size& s, const Slopes& l)
+        : size(s), slopes(l), load(s), routers(s.of("routers")), nodes(s.of("nodes")), peak(s.of("peak")),
+          cold_s(s.of("cold_start_s")), told_s(s.of("in_force_s")) {}
+
+    double of(const char* name) const { return size.of(name); }
+    double at(const char* name, double by) const { return slopes.at(name, by); }
+    double entry() const { return slopes.of("router.list_bytes").stated.slope * 1e6; }
+    double head() const { return at("wire.head", 1); }
+    // Out by agreement at a time, and the answer that names them all.
+    double out(double times) const { return load.restarts * times * of("restart_s"); }
+    double call_bytes() const { return at("member.call_bytes", 0) + head(); }
+    double answer_bytes(double times) const { return at("member.answer_bytes", out(times)) + head(); }
+    // Calls of all members a second: each renews, and each generation wakes each.
+    double member_calls(double times) const { return load.renewals + load.generations * times * routers; }
+    double list_in(double times) const { return load.list_changes * times * (entry() + head()); }
+    double one_change_ms() const {
+        return at("router.module_change", nodes) + at("router.list_change", nodes) +
+               at("router.agreed_list_change", nodes);
+    }
+    double whole_ms() const {
+        return at("router.list_read", nodes) + at("router.list_whole", nodes) +
+               at("router.agreed_whole", nodes) + at("router.module_whole", nodes);
+    }
+    // A router's words and what comes back, a second.
+    double words_core(double times) const {
+        const double calls = member_calls(times) / routers;
+        return calls * (at("member.call_write", 0) + at("member.answer_read", out(times))) / 1e6 +
+               load.generations * times * at("router.agreed_change", nodes) / 1e3;
+    }
+};
+
+Table size_table(const Model& m) {
+    Rows rows("size", {"from", "name", "size", "what", "name", "size", "what"});
+    const auto cells = [](const Stated& s) -> std::vector<std::string> {
+        return {"`" + s.name + "`", figure(s.value) + (s.unit.empty() ? "" : " " + s.unit), s.words};
+    };
+    const auto& all = m.size.all;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        std::vector<std::string> row{all[i].from};
+        const bool two = i + 1 < all.size() && all[i + 1].from == all[i].from;
+        for (std::string& cell : cells(all[i])) row.push_back(std::move(cell));
+        for (std::string& cell : two ? cells(all[i + 1]) : std::vector<std::string>(3))
+            row.push_back(std::move(cell));
+        rows.row(std::move(row));
+        i += two;
+    }
+    return rows.done();
+}
+
+Table follows_table(const Model& m) {
+    const Load& l = m.load;
+    Rows rows("follows", {"what follows", "figure", "how"});
+    rows.row({"leaf calls of all", rate(l.leaf_calls), "queries x parts"});
+    rows.row({"a router", rate(l.router_queries) + " queries, " + rate(l.router_calls) + " leaf calls",
+              "by routers; " + figure(l.calls_out) + " calls out at a time at " + figure(m.of("leaf_ms")) +
+                  " ms each"});
+    rows.row({"a data node", rate(l.node_calls) + " leaf calls", "by nodes"});
+    rows.row({"one router to one node", rate(l.pair_calls) + ": once in " + span(1 / l.pair_calls),
+              "what a router alone can learn of a node"});
+    rows.row({"each leaf call may be late with", in_10k(l.late_share),
+              fmt::format("1 - {}^(1/{})", m.of("slo_share"), m.of("parts"))});
+    rows.row({"changes of configuration", rate(l.changes) + ", at the peak " + rate(l.changes * m.peak),
+              "a day's over 86,400 s; x " + figure(m.peak)});
+    rows.row(
+        {"restarts", rate(l.restarts) + ", at the peak " + rate(l.restarts * m.peak),
+         "changes of discovery's list: " + rate(l.list_changes) + " and " + rate(l.list_changes * m.peak)});
+    rows.row({"a zone", figure(l.zone_nodes) + " nodes and " + figure(l.zone_routers) + " routers",
+              "told to " + figure(l.other_routers) + " routers within " + span(m.told_s) + ": " +
+                  bytes(l.zone_node_bytes) + " a node at most"});
+    rows.row({"control over all routers", figure(l.control_mb_s) + " MB/s", "routers x KB/s"});
+    rows.row({"machines for control in a zone", figure(l.zone_machines) + " at most",
+              figure(m.of("machines")) + " over " + figure(m.of("zones")) + " zones, rounded up"});
+    return rows.done();
+}
+
+Table slopes_table(const Model& m) {
+    Rows rows("slopes", {"slope", "fixed", "per unit of size", "off by at most", "range", "by"});
+    for (const Slope& s : m.slopes.all) {
+        const std::string name = "`" + s.name + "`";
+        if (s.name.rfind("leaf.", 0) == 0) continue;  // they stand in a table of their own
+        if (!s.measured()) {
+            rows.row({name, "not measured", "-", "-", "-", s.by});
+            continue;
+        }
+        const bool one = s.points.size() == 1;
+        rows.row({name, figure(s.stated.fixed) + " " + s.unit,
+                  one ? "-" : fmt::format("{:.3g} {} a {}", s.stated.slope, s.unit, s.per),
+                  one ? "-" : figure(s.stated.residual) + (s.bends() ? ", bends" : ""),
+                  one ? "one point" : figure(s.from) + " to " + figure(s.to), s.by});
+    }
+    return rows.done();
+}
+
+const std::vector<std::string> moments{"of it",         "mean",       "peak",      "a zone lost",
+                                       "regions apart", "cold start", "carried by"};
+
+Table router_data(const Model& m) {
+    const Load& l = m.load;
+    Rows rows("router-data", moments);
+    const double more = m.routers / l.other_routers, left = m.nodes - l.zone_nodes;
+    const double queries = l.router_queries, calls = l.router_calls;
+    const auto same = [&rows](const char* what, const std::string& now, const std::string& lost,
+                              const std::string& cold, const char* by) {
+        rows.row({what, now, "as mean", lost, "as mean", cold, by});
+    };
+    const auto module = [&](double nodes, double times) {
+        return core(m.at("router.module_load", nodes) / 100 * times);
+    };
+    const auto link = [&](const char* which, double times) {
+        return core(m.at(which, 1) / 1e6 * calls * times);
+    };
+    same("queries in", rate(queries), rate(queries * more), "0 to mean", "`ClientFront`");
+    same("leaf calls out", rate(calls), rate(calls * more), "0 to mean", "`NodeLinks`");
+    same("core: decisions", module(m.nodes, 1), module(left, more), "as mean", "the module");
+    same("core: calls, connections kept", link("router.call_kept", 1), link("router.call_kept", more),
+         "as mean", "`NodeLinks`");
+    same("core: calls, a connection each", link("router.call_made", 1), link("router.call_made", more),
+         "as mean", "`NodeLinks`, too few descriptors");
+    const auto tables = [&](double n) {
+        return mb(m.at("router.module_memory", n) + m.at("router.list_memory", n));
+    };
+    same("memory: tables", tables(m.nodes), tables(m.nodes), tables(m.nodes), "module, `NodeList`");
+    same("memory: connections, heap", mb(m.at("router.link_memory", m.nodes)),
+         mb(m.at("router.link_memory", left)), "grows to mean", "none within 1,024 descriptors");
+    same("descriptors for nodes", figure(m.nodes), figure(left), "grows to mean",
+         "a third of `limits.sockets`");
+    same("disk", "none", "none", "none", "-");
+    return rows.done();
+}
+
+Table router_control(const Model& m) {
+    const Load& l = m.load;
+    Rows rows("router-control", moments);
+    const double zone_s = l.zone_nodes / m.told_s;
+    const double polls = 1 / m.of("poll_s");
+    const auto words_in = [&](double times) {
+        return m.member_calls(times) / m.routers * m.answer_bytes(times);
+    };
+    const auto words_out = [&](double times) { return m.member_calls(times) / m.routers * m.call_bytes(); };
+    const double polls_in = polls * m.head();
+    rows.row({"changes of the list", rate(l.list_changes), rate(l.list_changes * m.peak), rate(zone_s),
+              "its region's", "one whole list", "discovery's watch"});
+    rows.row({"in: list", flow(m.list_in(1) + polls_in), flow(m.list_in(m.peak) + polls_in),
+              flow(zone_s * m.entry()), "as mean", flow(m.at("router.list_bytes", m.nodes) * 1e6 / m.cold_s),
+              "discovery's watch"});
+    rows.row({"in: what is agreed", flow(words_in(1)), flow(words_in(m.peak)), "as mean", "0, lease over",
+              "as mean", "`StewardWatch`: all that is out"});
+    rows.row(
+        {"in: configuration", "no way", "no way", "no way", "no way", "a file", "none; changes by relays"});
+    rows.row({"out: words", flow(words_out(1)), flow(words_out(m.peak)), "as mean", "tries, 421",
+              flow(words_out(1)), "`StewardWatch`, one leader"});
+    rows.row({"core: list", core(l.list_changes * m.one_change_ms() / 1e3),
+              core(l.list_changes * m.peak * m.one_change_ms() / 1e3),
+              core(m.at("router.zone_gone", m.nodes) / 1e3 / m.told_s), "as mean",
+              span(m.whole_ms() / 1e3) + " in one piece", "`NodeList`, `AgreedList`, module"});
+    rows.row({"core: words", core(m.words_core(1)), core(m.words_core(m.peak)), "as mean", "less", "as mean",
+              "`member_words`"});
+    const auto bytes_of = [&](double times) {
+        return (m.list_in(times) + polls_in + words_in(times) + words_out(times)) /
+               (m.of("control_kb_s") * 1e3);
+    };
+    const auto core_of = [&](double times) {
+        return (l.list_changes * times * m.one_change_ms() / 1e3 + m.words_core(times)) /
+               m.of("control_core");
+    };
+    rows.row({"of " + figure(m.of("control_kb_s")) + " KB/s", core(bytes_of(1)), core(bytes_of(m.peak)),
+              core(zone_s * m.entry() / m.of("control_kb_s") / 1e3 + bytes_of(1)), "less",
+              core(m.at("router.list_bytes", m.nodes) * 1e3 / m.cold_s / m.of("control_kb_s")),
+              "aim: " + core(m.of("ordinary")) + " on the ordinary day"});
+    rows.row({"of " + core(m.of("control_core")) + " of a core", core(core_of(1)), core(core_of(m.peak)),
+              "as mean", "less", "once", "aim: " + core(m.of("ordinary")) + " on the ordinary day"});
+    const double kept = m.at("router.agreed_memory", m.nodes) + m.at("router.list_memory", m.nodes) +
+                        m.at("router.module_memory", m.nodes);
+    rows.row({"memory", mb(kept), mb(kept), mb(kept), mb(kept),
+              mb(kept + m.at("router.list_read_memory", m.nodes)), "`AgreedList`, `NodeList`, module"});
+    rows.row({"descriptors", "2", "2", "2", "2", "2", "two watches"});
+    rows.row({"disk", "none", "none", "none", "none", "none", "nothing durable"});
+    return rows.done();
+}
+
+Table steward_leads(const Model& m) {
+    const Load& l = m.load;
+    Rows rows("steward-leads", moments);
+    const double entries = 1e3 / m.of("batch_ms");
+    const auto log = [&](double times) {
+        const double batches = std::min(entries, m.member_calls(times));
+        const Slope& each = m.slopes.of("steward.log_bytes");
+        return each.stated.fixed * batches + each.stated.slope * m.member_calls(times);
+    };
+    const auto calls_core = [&](double times) {
+        return m.member_calls(times) * m.at("steward.member_call", 1) / 1e6;
+    };
+    const double state = m.at("steward.state_nodes", m.nodes) + m.at("steward.state_members", m.routers);
+    const double snapshot =
+        m.at("steward.snapshot_nodes", m.nodes) + m.at("steward.snapshot_members", m.routers);
+    const double joins = m.routers / m.cold_s;
+    rows.row({"members' calls in", rate(m.member_calls(1)), rate(m.member_calls(m.peak)),
+              rate(m.member_calls(1)), "of its side", rate(joins) + " join", "one leader for all"});
+    rows.row({"in", flow(m.member_calls(1) * m.call_bytes()), flow(m.member_calls(m.peak) * m.call_bytes()),
+              "as mean", "less", "as mean", "`ClientFront`"});
+    rows.row({"out", flow(m.member_calls(1) * m.answer_bytes(1)),
+              flow(m.member_calls(m.peak) * m.answer_bytes(m.peak)), "as mean", "less", "as mean",
+              "all that is out to each"});
+    rows.row({"core: members' calls", core(calls_core(1)), core(calls_core(m.peak)), "as mean", "less",
+              "as mean", "one thread"});
+    rows.row({"core: nodes' news", core(l.list_changes * m.at("steward.node_news", m.nodes) / 1e3),
+              core(l.list_changes * m.peak * m.at("steward.node_news", m.nodes) / 1e3),
+              span(m.at("steward.zone_news", m.nodes) / 1e3) + " once", "as mean",
+              span(m.at("steward.whole_news", m.nodes) / 1e3) + " once", "`FleetState`, one entry"});
+    rows.row({"entries of the log", rate(entries), rate(entries), rate(entries), "as mean", rate(entries),
+              "an entry each 5 ms"});
+    rows.row({"disk: log", flow(log(1)), flow(log(m.peak)), "as mean", "less", "as mean", "libraft"});
+    const double snapshots = entries / m.of("snapshot_entries");
+    rows.row({"disk: snapshots", flow(snapshot * 1e6 * snapshots), "as mean", "as mean", "as mean", "as mean",
+              mb(snapshot) + " each " + span(1 / snapshots)});
+    rows.row({"core: snapshots", core(m.at("steward.snapshot_write", m.nodes) / 1e3 * snapshots), "as mean",
+              "as mean", "as mean", "as mean",
+              span(m.at("steward.snapshot_write", m.nodes) / 1e3) + " in one piece"});
+    rows.row({"memory: state", mb(state), mb(state), mb(state), mb(state), mb(state), "`FleetState`"});
+    const double connections = m.at("router.client_memory", m.routers);
+    rows.row({"memory: connections, heap", mb(connections), mb(connections), mb(connections), "less",
+              mb(connections), "`ClientFront`"});
+    const std::string descriptors = figure(m.routers + 2 * m.of("stewards"));
+    rows.row({"descriptors", descriptors, descriptors, descriptors, "less", descriptors, "20,000 at most"});
+    return rows.done();
+}
+
+Table others(const Model& m) {
+    const Load& l = m.load;
+    Rows rows("others", {"role", "of it", "mean", "peak", "when it is worst", "carried by"});
+    const double entries = 1e3 / m.of("batch_ms");
+    const double state = m.at("steward.state_nodes", m.nodes) + m.at("steward.state_members", m.routers);
+    rows.row({"steward that follows", "entries applied", rate(entries), rate(entries),
+              "a new one: a snapshot of " + mb(m.at("steward.snapshot_nodes", m.nodes)), "libraft"});
+    rows.row({"", "memory", mb(state), mb(state), "the same", "`FleetState`"});
+    rows.row({"", "members", "421 and the leader's name", "the same", "a router that reaches no leader: none",
+              "none: it serves no member"});
+    rows.row({"control service", "proxies", "none in the size", "-",
+              "1,000 proxies, a drain in 143 ms at most", "xDS; `make measure-xds`, docs/ROADMAP.md"});
+    const double status = m.at("steward.status_bytes", m.nodes) * 1e6;
+    rows.row({"operators' tools", "`fleet status`, `--wait`", bytes(status) + " a look", "the same",
+              span(m.at("steward.status_write", m.nodes) / 1e3) + " of the leader a look",
+              "none: all is listed"});
+    rows.row({"discovery", "calls that wait", figure(m.routers + m.of("stewards")), "the same",
+              rate(m.routers / m.of("poll_s")) + " renewed while nothing changes", "one call a router"});
+    rows.row({"", "answers", rate(l.list_changes * m.routers), rate(l.list_changes * m.peak * m.routers),
+              "cold start: " + bytes(m.at("router.list_bytes", m.nodes) * 1e6 * m.routers) + " in all",
+              "a delta each; whole lists"});
+    rows.row({"", "out", flow(m.list_in(1) * m.routers), flow(m.list_in(m.peak) * m.routers),
+              "a zone: " + flow(l.zone_nodes / m.told_s * m.entry() * l.other_routers), "the platform's"});
+    return rows.done();
+}
+
+Table relay(const Model& m) {
+    const Load& l = m.load;
+    const double relays = m.of("relays_a_zone") * m.of("zones");
+    const double each = m.routers / relays, alone = l.zone_routers;
+    const double change = m.of("change_bytes");
+    Rows rows("relay",
+              {"of a relay (worked out, not measured)", "mean", "peak", "the other of its zone lost"});
+    const auto down = [&](double times, double members) {
+        return flow(l.changes * times * (change + m.head()) * members);
+    };
+    const auto up = [&](double members) { return flow(members / (m.of("lease_s") / 5) * m.call_bytes()); };
+    rows.row({"routers", figure(each), figure(each), figure(alone)});
+    rows.row({"down: changes, one answer each", down(1, each), down(m.peak, each), down(m.peak, alone)});
+    rows.row({"up: routers' words", up(each), up(each), up(alone)});
+    rows.row({"calls of routers", rate(each / (m.of("lease_s") / 5) + l.changes * each),
+              rate(each / (m.of("lease_s") / 5) + l.changes * m.peak * each),
+              rate(alone / (m.of("lease_s") / 5) + l.changes * m.peak * alone)});
+    const double up_calls = 1 / (m.of("lease_s") / 5);
+    rows.row({"to the stewards: words gathered into one", rate(up_calls), rate(up_calls + l.changes * m.peak),
+              rate(up_calls + l.changes * m.peak)});
+    rows.row({"of each router, in", flow(l.changes * (change + m.head())),
+              flow(l.changes * m.peak * (change + m.head())), "as peak"});
+    rows.row({"the leader, out to " + figure(relays) + " relays",
+              flow(l.changes * (change + m.head()) * relays),
+              flow(l.changes * m.peak * (change + m.head()) * relays), "as peak"});
+    rows.row({"the leader, calls in, in place of " + rate(l.renewals), rate(up_calls * relays),
+              rate((up_calls + l.changes * m.peak) * relays), "less"});
+    rows.row({"a day's changes, for one that was away", bytes(m.of("changes_a_day") * change),
+              "in " + span(m.of("changes_a_day") * change / (m.of("control_kb_s") * 1e3)) +
+                  " at the router's rate",
+              "the same"});
+    return rows.done();
+}
+
+Table machines(const Model& m) {
+    Rows rows("machines", {"role", "machines", "with one zone away", "is it enough?"});
+    const double relays = m.of("relays_a_zone") * m.of("zones"), stewards = m.of("stewards");
+    const double left = m.of("machines") - relays - stewards;
+    rows.row({"relays, " + figure(m.of("relays_a_zone")) + " a zone (not built into `run` yet)",
+              figure(relays), figure(relays - m.of("relays_a_zone")),
+              "the zone's routers are gone with them; each other zone keeps both"});
+    rows.row({"stewards, one a region", figure(stewards), figure(stewards - 1),
+              fmt::format("{} of {} agree; a majority is {}", stewards - 1, stewards,
+                          std::floor(stewards / 2) + 1)});
+    rows.row({"control service, operators' tools, spare", figure(left), figure(std::max(0.0, left - 1)),
+              "at most " + figure(m.load.zone_machines) + " machines stand in one zone"});
+    rows.row({"all", figure(m.of("machines")), figure(m.of("machines") - m.load.zone_machines),
+              left < 0 ? "NO: more are needed than are set aside" : "yes"});
+    return rows.done();
+}
+
+struct Need {
+    std::string need, have;
+    double before, now;  // times short; 1 and less: it fits
+    std::string mechanism;
+};
+
+std::string short_by(double times) {
+    if (std::isnan(times)) return "not measured";
+    return times <= 1 ? "fits: " + figure(times) : "**" + figure(times) + "**";
+}
+
+Table needs(const Model& m) {
+    const Load& l = m.load;
+    const double links = std::floor((m.of("sockets") - 16) / 3);
+    const double list_s = m.at("router.list_bytes", m.nodes) * 1e3 / m.of("control_kb_s");
+    const double words_peak = m.member_calls(m.peak) * m.at("steward.member_call", 1) / 1e6;
+    const double out_peak = m.member_calls(m.peak) / m.routers * m.answer_bytes(m.peak) / 1e3;
+    const double zone_s = l.zone_nodes * m.entry() / (m.of("control_kb_s") * 1e3);
+    const double list_core = l.list_changes * m.peak * m.one_change_ms() / 1e3;
+    const double list_mb = m.at("router.list_bytes", m.nodes);
+    const double silent_s = m.of("silent_calls") / l.pair_calls;
+    const double held = m.at("router.agreed_memory", m.nodes) + m.at("router.list_memory", m.nodes) +
+                        m.at("router.module_memory", m.nodes) + m.at("router.list_read_memory", m.nodes);
+    const double status_s = m.at("steward.status_write", m.nodes) / 1e3;
+    const double look = status_s / (m.of("look_s") + status_s);
+    const double restarts = m.of("changes_a_day") * m.routers;
+    const double batches = std::min(1e3 / m.of("batch_ms"), l.renewals);
+    const auto queued = [&](const char* which) { return m.at(which, m.nodes) / 1e3 * batches; };
+    const double list_cold = list_s / m.cold_s;
+    const auto both = [](double short_by) { return std::pair(short_by, short_by); };
+    const auto need = [](std::string what, std::string have, std::pair<double, double> short_by,
+                         std::string mechanism) {
+        return Need{std::move(what), std::move(have), short_by.first, short_by.second, std::move(mechanism)};
+    };
+    const std::string in_force = span(m.told_s), kb_s = figure(m.of("control_kb_s")) + " KB/s";
+    const std::string quarter = core(m.of("leader_core")) + " of a core";
+    std::vector<Need> all{
+        need("a change in force without a restart: " + figure(restarts) + " times a day",
+             figure(m.of("restarts_a_day")) + " restarts a day", both(restarts / m.of("restarts_a_day")),
+             "**none**: versioned changes by relays (chosen)"),
+        need(figure(m.nodes) + " connections of a router to nodes",
+             figure(links) + ", a third of " + figure(m.of("sockets")) + " descriptors",
+             both(m.nodes / links),
+             "`limits.sockets`, and " + mb(m.at("router.link_memory", m.nodes)) + " of heap; subsets wait"),
+        need("a change within a region that is cut off, in " + in_force, span(m.of("apart_s")),
+             both(m.of("apart_s") / m.told_s), "**none**: stewards for each region (runner-up)"),
+        need("leader: words while a drain waits, in " + quarter,
+             core(queued("fleet.batch_queued_before")) + ", then " + core(queued("fleet.batch_queued")),
+             std::pair(queued("fleet.batch_queued_before") / m.of("leader_core"),
+                       queued("fleet.batch_queued") / m.of("leader_core")),
+             "counts kept up to date"),
+        need("leader: " + rate(m.member_calls(m.peak)) + " calls at the peak, in " + quarter,
+             core(words_peak), both(words_peak / m.of("leader_core")), "**none**: words gathered by relays"),
+        need("leader: one operator's `--wait`, in " + quarter, core(look), both(look / m.of("leader_core")),
+             "**none**: each look lists all"),
+        need("who is out, to each router at the peak, in " + kb_s, flow(out_peak * 1e3),
+             both(out_peak / m.of("control_kb_s")), "**none**: deltas behind digests"),
+        need("a zone's " + figure(l.zone_nodes) + " entries in " + in_force + " at " + kb_s, span(zone_s),
+             both(zone_s / m.told_s), "**none**: discovery names each node"),
+        need("a whole list at a cold start in " + span(m.cold_s) + " at " + kb_s, span(list_s),
+             both(list_cold), "**none**: pages, or a list kept on disk"),
+        need("a whole list of " + mb(list_mb),
+             mb(m.of("list_mb")) + ", then " + mb(m.at("router.list_bound", m.nodes)),
+             std::pair(list_mb / m.of("list_mb"), list_mb / m.at("router.list_bound", m.nodes)),
+             "a bound that follows from the size"),
+        need("a place for each of " + figure(m.nodes) + " nodes", "65,536, then 4.29 billion",
+             std::pair(m.nodes / 65'536.0, m.nodes / 4'294'967'296.0), "32 bits in place of 16"),
+        need("changes of the list at the peak, in " + core(m.of("control_core")) + " of a core",
+             core(list_core), both(list_core / m.of("control_core")),
+             "a change costs the module by all nodes"),
+        need(figure(m.of("control_mb")) + " MB, when a whole list is read", mb(held),
+             both(held / m.of("control_mb")), "`NodeList`, `AgreedList`, module, reader"),
+        need("a node that fell silent, told in " + in_force,
+             span(silent_s) + ": " + figure(m.of("silent_calls")) + " calls in a row",
+             both(silent_s / m.told_s), "`OutcomeWatch`; second copies meanwhile"),
+    };
+    std::stable_sort(all.begin(), all.end(), [](const Need& a, const Need& b) {
+        const auto key = [](double v) { return std::isnan(v) ? 1.0 : v; };
+        return key(a.now) > key(b.now);
+    });
+    Rows rows("needs", {"need", "have", "short by, before", "now", "mechanism"});
+    for (const Need& n : all) rows.row({n.need, n.have, short_by(n.before), short_by(n.now), n.mechanism});
+    return rows.done();
+}
+
+Table rejected(const Model& m) {
+    const Load& l = m.load;
+    Rows rows("rejected", {"shape", "its figure", "why not"});
+    const double words = m.member_calls(m.peak);
+    rows.row({"one leader for all members",
+              rate(words) + " calls at the peak: " + core(words * m.at("steward.member_call", 1) / 1e6) +
+                  " of a core, " + flow(words * (m.call_bytes() + m.answer_bytes(m.peak))),
+              "one thread, one machine, one zone"});
+    rows.row({"whole lists to each router",
+              mb(m.at("router.list_bytes", m.nodes)) + " x " + figure(m.routers) + " = " +
+                  bytes(m.at("router.list_bytes", m.nodes) * 1e6 * m.routers),
+              span(m.at("router.list_bytes", m.nodes) * 1e3 / m.of("control_kb_s")) + " each at " +
+                  figure(m.of("control_kb_s")) + " KB/s"});
+    rows.row({"every router to every node", figure(l.connections) + " connections",
+              figure(l.router_connections) + " a router, " + figure(l.node_connections) +
+                  " a node, each used " + rate(l.pair_calls)});
+    rows.row({"a connection for each leaf call", rate(l.leaf_calls) + " made",
+              core(m.at("router.call_made", 1) / 1e6 * l.router_calls) + " of a router's core, not " +
+                  core(m.at("router.call_kept", 1) / 1e6 * l.router_calls)});
+    const Slope& log = m.slopes.of("steward.log_bytes");
+    rows.row({"a log entry for each renewal",
+              rate(l.renewals) + " entries, " + flow(l.renewals * (log.stated.fixed + log.stated.slope)),
+              figure(l.renewals * m.of("batch_ms") / 1e3) + " times as many writes to stable storage"});
+    rows.row({"the whole of what is out to each, each time",
+              bytes(m.answer_bytes(m.peak)) + " x " + rate(m.member_calls(m.peak)),
+              flow(m.member_calls(m.peak) * m.answer_bytes(m.peak)) + " at the peak"});
+    rows.row({"a restart for each change", figure(m.of("changes_a_day") * m.routers) + " restarts a day",
+              rate(l.changes * m.routers) + "; each a whole list and four changes of all others' lists"});
+    return rows.done();
+}
+
+// The chance that a leaf call is late where a copy may go to another holder in time, which is late with the
+// same chance; of copies there are no more than the budget has.
+double copied(const Model& m, double late) {
+    const double share = std::min(1.0, m.of("copy_share") / late);
+    return late * (1 - share) + late * late * share;
+}
+
+Table fan_out(const Model& m) {
+    const double parts = m.of("parts");
+    const int whole = static_cast<int>(parts), most = whole * 3 / 4;
+    Rows rows("fan-out", {"a leaf call is late with", "all " + figure(parts) + " on time",
+                          "p = " + figure(most) + ", all on time", "all, second copies",
+                          "p = " + figure(most) + ", second copies", "all but 1", "all but 3"});
+    const auto line = [&](const std::string& what, double q) {
+        rows.row({what, per_cent(all_on_time(q, parts)), per_cent(all_on_time(q, most)),
+                  per_cent(all_on_time(copied(m, q), parts)), per_cent(all_on_time(copied(m, q), most)),
+                  per_cent(but_few_on_time(q, whole, 1)), per_cent(but_few_on_time(q, whole, 3))});
+    };
+    line(in_10k(m.load.late_share) + ", what may be", m.load.late_share);
+    for (const double q : {1e-3, 3e-3, 1e-2, 3e-2, 0.1}) line(in_10k(q), q);
+    return rows.done();
+}
+
+// Of the measured times of one leaf call, between the measured quantiles by the logarithm of what is beyond.
+double leaf_ms(const Model& m, double share) {
+    const std::pair<double, const char*> known[] = {{0.5, "leaf.one_50"},
+                                                    {0.9, "leaf.one_90"},
+                                                    {0.99, "leaf.one_99"},
+                                                    {0.99858, "leaf.one_99.9"},
+                                                    {0.99986, "leaf.one_99.98"}};
+    const auto beyond = [](double s) { return -std::log(1 - s); };
+    for (std::size_t i = 1; i < std::size(known); ++i) {
+        if (share > known[i].first && i + 1 < std::size(known)) continue;
+        const auto [from, a] = known[i - 1];
+        const auto [to, b] = known[i];
+        const double part =
+            (std::min(beyond(share), beyond(to)) - beyond(from)) / (beyond(to) - beyond(from));
+        return m.at(a, 1) + std::max(0.0, part) * (m.at(b, 1) - m.at(a, 1));
+    }
+    return 0;
+}
+
+// The most that a leaf call may be late for the share of queries that the size asks for.
+template <typename Served>
+double most_late(double share, Served served) {
+    double low = 0, high = 1;
+    for (int i = 0; i < 100; ++i) {
+        const double mid = (low + high) / 2;
+        (served(mid) >= share ? low : high) = mid;
+    }
+    return low;
+}
+
+Table leaf_times(const Model& m) {
+    const double parts = m.of("parts"), share = m.of("slo_share");
+    const int whole = static_cast<int>(parts), most = whole * 3 / 4;
+    Rows rows("leaf-times", {"way", "a leaf call may be late with", "its quantile that decides",
+                             "there by the measured times", "the query, measured"});
+    const auto line = [&](const std::string& way, double late, const std::string& measured) {
+        rows.row({way, in_10k(late), fmt::format("{:.3f}%", 100 * (1 - late)),
+                  figure(leaf_ms(m, 1 - late)) + " ms", measured});
+    };
+    const auto ms_of = [&](const char* name) { return figure(m.at(name, 1)) + " ms"; };
+    line("all " + figure(parts), most_late(share, [&](double q) { return all_on_time(q, parts); }),
+         ms_of("leaf.all_99"));
+    line("p = " + figure(most), most_late(share, [&](double q) { return all_on_time(q, most); }),
+         "not measured");
+    line("all, with second copies",
+         most_late(share, [&](double q) { return all_on_time(copied(m, q), parts); }),
+         ms_of("leaf.copied_99"));
+    line("all but 1", most_late(share, [&](double q) { return but_few_on_time(q, whole, 1); }),
+         "not measured");
+    line("all but 3", most_late(share, [&](double q) { return but_few_on_time(q, whole, 3); }),
+         "not measured");
+    return rows.done();
+}
+
+Table knowing(const Model& m) {
+    const Load& l = m.load;
+    Rows rows("knowing", {"who looks", "calls to one node", "silent, 5 calls",
+                          "late with 1 in 5, not 1 in 100", "late with 1 in 50, not 1 in 100"});
+    const double odds = 100;
+    const auto line = [&](const std::string& who, double a_second) {
+        rows.row({who, rate(a_second), span(m.of("silent_calls") / a_second),
+                  span(calls_to_tell(0.2, 0.01, odds) / a_second),
+                  span(calls_to_tell(0.02, 0.01, odds) / a_second)});
+    };
+    line("one router alone", l.pair_calls);
+    line("one router, asking one holder of each shard", l.pair_calls * m.of("copies"));
+    line("one router, a zone's machine kind as one", l.router_calls / m.of("zones") / m.of("kinds"));
+    line("the routers of a relay together", l.pair_calls * l.zone_routers);
+    line("all routers together", l.node_calls);
+    return rows.done();
+}
+
+}  // namespace
+
+std::vector<Table> tables(const Size& size, const Slopes& slopes) {
+    const Model m(size, slopes);
+    return {size_table(m),    follows_table(m), needs(m),   router_data(m), router_control(m),
+            steward_leads(m), others(m),        relay(m),   machines(m),    rejected(m),
+            fan_out(m),       leaf_times(m),    knowing(m), slopes_table(m)};
+}
+
+}  // namespace tealcart::capacity
--- a/measure/role_cost.cpp
+++ b/measure/role_cost.cpp
@@ -60,13 +60,13 @@
 }
 
 std::string node_name(std::size_t n) {
-    char text[24];
+    char text[64];
     std::snprintf(text, sizeof text, "dn-%05zu.r%zuz%zu", n, n % 12 % 5, n % 12);
     return text;
 }
 
 std::string router_name(std::size_t n) {
-    char text[24];
+    char text[64];
     std::snprintf(text, sizeof text, "qr-%04zu.r%zuz%zu", n, n % 12 % 5, n % 12);
     return text;
 }
@@ -85,6 +85,7 @@
 void words() {
     std::string wrong;
     std::size_t sink = 0;
+    point("wire.head", 1, static_cast<double>(write_answer_head({200, 1000}).size()));
     for (const std::size_t named : {0, 100, 1000}) {
         const MemberCall call = call_of(17, named);
         const std::string bytes = write_member_call(call);
@@ -122,28 +123,79 @@
     return seen;
 }
 
-// The stewards' state: heap, and bytes of its snapshot.
+// A fleet of so many nodes and members, whose leases hold.
+fleet::FleetState state_of(std::size_t nodes, std::size_t members) {
+    fleet::Budgets budgets;
+    budgets.nodes.most = 1;
+    fleet::FleetState state(budgets);
+    state.apply({"", 1, nodes_of(nodes)});
+    for (std::size_t i = 0; i < members; ++i) {
+        const MemberCall call = call_of(i, 0);
+        fleet::Words one{{steward::join_of(call)}, {steward::renew_of(call)}};
+        one.renewals[0].word.acts_on = 0;
+        state.apply({"", 2, std::move(one)});
+    }
+    return state;
+}
+
+// The stewards' state: heap, bytes of its snapshot, and what it takes to write it and the status.
 void state() {
     const auto measure = [](std::size_t nodes, std::size_t members, const char* heap, const char* snapshot,
                             std::size_t by) {
         const double before = heap_bytes();
-        auto kept = std::make_unique<fleet::FleetState>(fleet::Budgets{});
-        {
-            kept->apply({"", 1, nodes_of(nodes)});
-            for (std::size_t i = 0; i < members; ++i) {
-                const MemberCall call = call_of(i, 0);
-                fleet::Words one{{steward::join_of(call)}, {steward::renew_of(call)}};
-                one.renewals[0].word.acts_on = 0;
-                kept->apply({"", 2, std::move(one)});
-            }
-        }
+        const fleet::FleetState kept = state_of(nodes, members);
         point(heap, by, (heap_bytes() - before) / 1e6);
-        point(snapshot, by, static_cast<double>(kept->save().size()) / 1e6);
+        point(snapshot, by, static_cast<double>(kept.save().size()) / 1e6);
     };
-    for (const std::size_t nodes : {1000, 10'000, 40'000, 81'000})
-        measure(nodes, 0, "steward.state_nodes", "steward.snapshot_nodes", nodes);
     for (const std::size_t members : {300, 1200, 3600})
         measure(0, members, "steward.state_members", "steward.snapshot_members", members);
+    for (const std::size_t nodes : {1000, 10'000, 40'000, 81'000}) {
+        measure(nodes, 0, "steward.state_nodes", "steward.snapshot_nodes", nodes);
+        const std::size_t members = nodes * 2 / 45;
+        fleet::FleetState kept = state_of(nodes, members);
+        std::size_t sink = 0;
+        point("steward.snapshot_write", nodes, cost(3, [&] { sink += kept.save().size(); }) / 1e3);
+        const std::string status = steward::write_status(kept, {});
+        point("steward.status_bytes", nodes, static_cast<double>(status.size()) / 1e6);
+        point("steward.status_write", nodes,
+              cost(3, [&] { sink += steward::write_status(kept, {}).size(); }) / 1e3);
+
+        // Six members' words as one entry, with nothing queued and while a drain waits for another one.
+        std::size_t turn = 0;
+        const auto batch = [&] {
+            fleet::Words six;
+            for (std::size_t i = 0; i < 6; ++i) {
+                six.renewals.push_back(steward::renew_of(call_of(turn++ % members, 0)));
+                six.renewals.back().word.acts_on = 0;
+            }
+            sink += kept.apply({"", 3, std::move(six)}).size();
+        };
+        point("fleet.batch", nodes, cost(200, batch) / 1e3);
+        kept.apply({"a", 4, fleet::Ask{"me", {false, node_name(0)}}});
+        kept.apply({"b", 4, fleet::Ask{"me", {false, node_name(1)}}});
+        point("fleet.batch_queued", nodes, cost(20, batch) / 1e3);
+
+        fleet::NodesSeen news{{}, false, {}};
+        news.nodes[node_name(7)] = kept.nodes().at(node_name(7));
+        std::size_t times = 0;
+        const auto change = [&] {
+            news.nodes.begin()->second.health =
+                ++times % 2 > 0 ? fleet::Health::draining : fleet::Health::whole;
+            sink += kept.apply({"", 5, news}).size();
+        };
+        point("steward.node_news", nodes, cost(10, change) / 1e3);
+        fleet::NodesSeen zone{{}, false, {}};
+        for (std::size_t i = 12; i < nodes; i += 12) zone.gone.insert(node_name(i));
+        const double began = thread_us();
+        sink += kept.apply({"", 6, zone}).size();
+        point("steward.zone_news", nodes, (thread_us() - began) / 1e3);
+        fleet::FleetState fresh{fleet::Budgets{}};
+        const auto bytes = fleet::write_command({"", 1, nodes_of(nodes)});
+        const double from = thread_us();
+        sink += fresh.apply(fleet::read_command(bytes.data(), bytes.size())).size();
+        point("steward.whole_news", nodes, (thread_us() - from) / 1e3);
+        if (sink == 0) std::printf("nothing was done\n");
+    }
 }
 
 // A router's own tables of the list, beside the module's.
