--- a/measure/capacity/tables.cpp
+++ b/measure/capacity/tables.cpp
@@ -337,6 +337,15 @@
         return flow(calls(times, members) * m.call_bytes());
     };
     three("up: routers' words", up(1, each), up(m.peak, each), up(m.peak, alone));
+    const auto as_leader = [&](double times, double members) {
+        return core(m.lead_core(calls(times, members)));
+    };
+    three("core, if a call costs what it costs the leader", as_leader(1, each), as_leader(m.peak, each),
+          as_leader(m.peak, alone));
+    const auto heap = [&](double members) { return mb(m.at("router.client_memory", members)); };
+    three("memory: connections, heap; its state not measured", heap(each), heap(each), heap(alone));
+    three("descriptors", figure(each + 2), figure(each + 2), figure(alone + 2));
+    three("disk", "none", "none", "none");
     three("up: gathered into one, to the stewards", rate(calls(1, 1)), rate(calls(m.peak, 1)));
     three("each router, in", flow(news * long_as), flow(news * m.peak * long_as));
     three("the leader, out to " + figure(relays) + " relays", down(news, relays),
@@ -357,8 +366,8 @@
     Rows rows("machines", {"role", "machines", "with one zone away", "is it enough?"});
     const double relays = m.of("relays_a_zone") * m.of("zones"), stewards = m.of("stewards");
     const double left = m.of("machines") - relays - stewards;
-    rows.row({"relays, " + figure(m.of("relays_a_zone")) + " a zone (not built into `run` yet)",
-              figure(relays), figure(relays - m.of("relays_a_zone")),
+    rows.row({"relays, " + figure(m.of("relays_a_zone")) + " a zone", figure(relays),
+              figure(relays - m.of("relays_a_zone")),
               "the zone's routers are gone with them; each other zone keeps both"});
     rows.row({"stewards, one a region", figure(stewards), figure(stewards - 1),
               fmt::format("{} of {} agree; a majority is {}", stewards - 1, stewards,
@@ -395,7 +404,14 @@
     const double list_mb = m.at("router.list_bytes", m.nodes);
     const double silent_s = m.of("silent_calls") / l.pair_calls;
     const double held = m.at("router.agreed_memory", m.nodes) + m.at("router.list_memory", m.nodes) +
-                        m.at("router.module_memory", m.nodes) + m.at("router.list_read_memory", m.nodes);
+                        m.at("router.module_memory", m.nodes);
+    const double held_before = held + m.at("router.list_read_memory_before", m.nodes);
+    const double held_now = held + m.at("router.list_read_memory", m.nodes);
+    const double view_before = m.at("steward.view_before", m.nodes * m.nodes / m.of("copies") / 1e3) / 1e3;
+    const double view_now = m.at("steward.view", m.nodes) / 1e3,
+                 view_s = m.of("view_s") * m.of("leader_core");
+    const double silent_kb = m.at("member.call_bytes", l.zone_nodes) / 1e3;
+    const double list_bound = std::max(m.of("list_mb"), m.of("memory_mb") / 4);
     const double status_s = m.at("steward.status_write", m.nodes) / 1e3;
     const double look = status_s / (m.of("look_s") + status_s);
     const double restarts = m.of("changes_a_day") * m.routers;
@@ -441,17 +457,24 @@
              "discovery's answers bring many at once"),
         need("a whole list at a cold start in " + span(m.cold_s) + " at " + kb_s, span(list_s),
              both(list_cold), "**none**: pages, or a list kept on disk"),
-        need("a whole list of " + mb(list_mb),
-             mb(m.of("list_mb")) + ", then " + mb(m.at("router.list_bound", m.nodes)),
-             std::pair(list_mb / m.of("list_mb"), list_mb / m.at("router.list_bound", m.nodes)),
+        need("a whole list of " + mb(list_mb), mb(m.of("list_mb")) + ", then " + mb(list_bound),
+             std::pair(list_mb / m.of("list_mb"), list_mb / list_bound),
              "a bound that follows from the size"),
         need("a place for each of " + figure(m.nodes) + " nodes", "65,536, then 4.29 billion",
              std::pair(m.nodes / 65'536.0, m.nodes / 4'294'967'296.0), "32 bits in place of 16"),
         need("changes of the list at the peak, in " + core(m.of("control_core")) + " of a core",
              core(list_core), both(list_core / m.of("control_core")),
              "a change costs the module by all nodes"),
-        need(figure(m.of("control_mb")) + " MB, when a whole list is read", mb(held),
-             both(held / m.of("control_mb")), "`NodeList`, `AgreedList`, module, reader"),
+        need(figure(m.of("control_mb")) + " MB, when a whole list is read",
+             mb(held_before) + ", then " + mb(held_now),
+             std::pair(held_before / m.of("control_mb"), held_now / m.of("control_mb")),
+             "a list is read entry by entry"),
+        need("leader: a look at discovery's list each " + span(m.of("view_s")) + ", in " + quarter,
+             span(view_before) + ", then " + span(view_now),
+             std::pair(view_before / view_s, view_now / view_s), "it looks at what changed"),
+        need("a member's word that names a zone as silent",
+             bytes(m.of("body_kb") * 1e3) + " of " + bytes(silent_kb * 1e3),
+             both(silent_kb / m.of("body_kb")), "**none**: 413, and the lease ends"),
         need("a node that fell silent, told in " + in_force,
              span(silent_s) + ": " + figure(m.of("silent_calls")) + " calls in a row",
              both(silent_s / m.told_s), "`OutcomeWatch`; second copies meanwhile"),
--- a/measure/role_cost.cpp
+++ b/measure/role_cost.cpp
@@ -19,6 +19,7 @@
 #include "fleet/fleet_state.hpp"
 #include "members/agreed_list.hpp"
 #include "standin/fleet.hpp"
+#include "steward/node_view.hpp"
 #include "steward/requests.hpp"
 #include "tables/node_list.hpp"
 #include "wire/client_front.hpp"
@@ -198,6 +199,30 @@
     }
 }
 
+// A steward's look, ten times a second, at what discovery's list has that is not agreed: nothing here. Where
+// each node is held against each shard that grows by their product, and the measure stops before it is long.
+void view() {
+    double last = 0;
+    for (const std::size_t nodes : {1000, 3000, 10'000, 40'000, 81'000}) {
+        if (last > 100) break;
+        Terms terms;
+        terms.places = terms.shards = static_cast<int>(nodes / 3);
+        steward::NodeView seen(terms);
+        TargetList list{1, true, {}, 0};
+        for (std::size_t i = 0; i < nodes / 3 * 3; ++i)
+            list.nodes.push_back({node_name(i), "10.0.0.1:7300", "r1z1", "kind-1",
+                                  static_cast<std::uint32_t>(i / 3), Availability::ready, 0});
+        seen.take(list, 1);
+        fleet::FleetState agreed{fleet::Budgets{}};
+        if (auto news = seen.news(agreed, 2)) agreed.apply({"", 2, std::move(*news)});
+        bool any = false;
+        last = cost(3, [&] { any |= seen.news(agreed, 3).has_value(); }) / 1e3;
+        if (any) std::printf("something was left to be agreed\n");
+        point("steward.view", nodes, last);
+        point("steward.view_product", nodes * (nodes / 3) / 1000, last);
+    }
+}
+
 // A router's own tables of the list, beside the module's.
 void lists() {
     const std::string gone = R"({"instanceId":")" + node_name(6750) + R"(","lifecycle":"removed"},)";
@@ -378,6 +403,7 @@
     const Nodes nodes;
     words();
     state();
+    view();
     lists();
     client_connections();
     node_connections(nodes);
