--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -18,7 +18,7 @@
     std::string id, deadline, key;
     bool retry = false, keep_alive = true;
     std::string body;
-    std::string query;  // what stands behind the path's '?'
+    std::string query = {};  // what stands behind the path's '?'
 };
 
 // Reads requests one after the other.
