Hollow routers by the hundred: the program's own membership and watches, without queries

Cause: nothing here had run more than a hundred routers against stewards, and a plan of 3,600 needs slopes. The platform's behaviour stays as it was.

--- a/src/service/bridge.hpp
+++ b/src/service/bridge.hpp
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "members/member_host.hpp"
 #include "phases/section_memory.hpp"
 #include "phases/speakers.hpp"
 #include "phases/two_phase.hpp"
@@ -21,7 +22,6 @@
 #include "tables/timekeeper.hpp"
 #include "terms/terms_text.hpp"
 #include "wire/client_front.hpp"
-#include "wire/discovery_watch.hpp"
 #include "wire/node_links.hpp"
 
 namespace tealcart {
@@ -34,23 +34,9 @@
     Nanos worst_overrun = 0;
 };
 
-// What a member of a fleet may do now, beside what the platform allows.
-struct MemberStanding {
-    bool ready = true, admits = true;
-    Nanos no_calls_after = Deadlines::never;
-};
-
-// Told how queries and leaf calls end.
-class OutcomeTaker {
-  public:
-    virtual ~OutcomeTaker() = default;
-    virtual void on_query_end(int status) = 0;
-    virtual void on_call_end(std::uint32_t node, Outcome outcome) = 0;
-};
-
 class Bridge final : public RequestTaker,
                      public LinkOwner,
-                     public ListTaker,
+                     public MemberHost,
                      public DueHandler,
                      private Arrivals,
                      private DecisionWriter {
@@ -71,7 +57,9 @@
     void on_due(Handle who, std::uint64_t what) override;
 
     // When the next round is due; never while nothing has come in, or before `begin`.
-    Nanos next_round() const { return arrived_.empty() || !begun_ ? Deadlines::never : last_round_ + step_; }
+    Nanos next_round() const override {
+        return arrived_.empty() || !begun_ ? Deadlines::never : last_round_ + step_;
+    }
     void run_round();
 
     // From here on it is ready and decides; what has come in before waits till then.
@@ -79,16 +67,15 @@
     bool begun() const { return begun_; }
     void begin_stop() { stopping_ = true; }
     // Of members of a fleet alone.
-    void watch_outcomes(OutcomeTaker* taker) { outcomes_ = taker; }
-    void take_standing(const MemberStanding& standing) { standing_ = standing; }
-    // Whether a leaf call is out to a node whose name is one of these.
-    template <typename Which>
-    bool any_call_to(Which which) const {
+    void watch_outcomes(OutcomeTaker* taker) override { outcomes_ = taker; }
+    void take_standing(const MemberStanding& standing) override { standing_ = standing; }
+    bool any_call_to(const std::function<bool(const std::string&)>& which) const override {
         bool any = false;
         calls_.each([&](Handle, const LeafCall& call) { any |= which(nodes_.name(call.node)); });
         return any;
     }
-    std::size_t held() const { return held_; }
+    const std::string& node_name(std::uint32_t node) const override { return nodes_.name(node); }
+    std::size_t held() const override { return held_; }
     std::size_t calls_out() const { return calls_.used(); }
     const NodeList& nodes() const { return nodes_; }
     const PhaseCounts& phase_counts() const { return phase_counts_; }
--- a/src/service/membership.cpp
+++ b/src/service/membership.cpp
@@ -27,17 +27,17 @@
 
 }  // namespace
 
-Membership::Membership(boost::asio::io_context& io, Timekeeper& time, const Launch& launch, Bridge& bridge)
+Membership::Membership(boost::asio::io_context& io, Timekeeper& time, const Launch& launch, MemberHost& host)
     : time_(time), terms_(launch.operators.member), name_(terms_.name.empty() ? launch.name : terms_.name),
-      digest_(digest_of(launch)), bridge_(bridge),
+      digest_(digest_of(launch)), host_(host),
       lease_(terms_, time.now(), static_cast<std::uint64_t>(time.now())),
       watch_(io, time, *this, terms_.stewards) {
-    bridge_.watch_outcomes(this);
+    host_.watch_outcomes(this);
     look();
 }
 
 void Membership::hand_on(const TargetList& list) {
-    if (!list.nodes.empty() || list.whole) bridge_.on_list(list);
+    if (!list.nodes.empty() || list.whole) host_.on_list(list);
 }
 
 void Membership::on_list(const TargetList& list) { hand_on(list_.discovered(list)); }
@@ -53,19 +53,19 @@
     const bool cut = now >= lease_.no_calls_after(now);
     if (cut != cut_) hand_on(list_.cut(cut));
     cut_ = cut;
-    bridge_.take_standing({lease_.ready(now) && !out_, lease_.admits(now), lease_.no_calls_after(now)});
+    host_.take_standing({lease_.ready(now) && !out_, lease_.admits(now), lease_.no_calls_after(now)});
 }
 
 void Membership::after_round() {
     // All that the bridge was told has been played to the module by now.
-    if (bridge_.next_round() != Deadlines::never) return;
+    if (host_.next_round() != Deadlines::never) return;
     acts_on_ = told_;
     watch_.next();
 }
 
 bool Membership::anything_in_hand() const {
-    if (out_ && bridge_.held() > 0) return true;
-    return bridge_.any_call_to([this](const std::string& node) { return list_.out().contains(node); });
+    if (out_ && host_.held() > 0) return true;
+    return host_.any_call_to([this](const std::string& node) { return list_.out().contains(node); });
 }
 
 MemberCall Membership::word() {
@@ -79,13 +79,13 @@
     call.serve_on = terms_.serve_on;
     call.acts_on = acts_on_;
     call.knows = told_;
-    if (out_ && bridge_.held() > 0) call.in_hand.push_back({true, name_});
+    if (out_ && host_.held() > 0) call.in_hand.push_back({true, name_});
     for (const std::string& node : list_.out())
-        if (bridge_.any_call_to([&node](const std::string& at) { return at == node; }))
+        if (host_.any_call_to([&node](const std::string& at) { return at == node; }))
             call.in_hand.push_back({false, node});
     call.wait = lease_.wait(!call.in_hand.empty() || acts_on_ < told_);
     for (const std::uint32_t node : outcomes_.silent(time_.now()))
-        if (const std::string& at = bridge_.nodes().name(node); !at.empty()) call.silent.push_back(at);
+        if (const std::string& at = host_.node_name(node); !at.empty()) call.silent.push_back(at);
     const OutcomeWatch::Counts counts = outcomes_.counts(time_.now());
     call.queries = counts.queries;
     call.failed = counts.failed;
--- a/src/service/membership.hpp
+++ b/src/service/membership.hpp
@@ -1,18 +1,20 @@
-// A query router's part in the fleet: discovery's list and what was agreed go to the bridge as one, the lease
-// is kept, and what the router does is told. Made only where the operators' file has a `member` block.
+// A query router's part in the fleet: discovery's list and what was agreed go to its host, the bridge, as
+// one, the lease is kept, and what the router does is told. Made only where the operators' file has a
+// `member` block.
 #pragma once
 
 #include "members/agreed_list.hpp"
+#include "members/member_host.hpp"
 #include "members/member_lease.hpp"
 #include "members/outcome_watch.hpp"
-#include "service/bridge.hpp"
+#include "service/launch.hpp"
 #include "wire/steward_watch.hpp"
 
 namespace tealcart {
 
 class Membership final : public ListTaker, private StewardTaker, private OutcomeTaker {
   public:
-    Membership(boost::asio::io_context& io, Timekeeper& time, const Launch& launch, Bridge& bridge);
+    Membership(boost::asio::io_context& io, Timekeeper& time, const Launch& launch, MemberHost& host);
 
     void start() { watch_.start(); }
     void stop() { watch_.stop(); }
@@ -23,6 +25,9 @@
     // And after it: what the bridge was told is acted on.
     void after_round();
     Nanos next_change() const { return lease_.next_change(time_.now()); }
+    const MemberLease& lease() const { return lease_; }
+    std::uint64_t acts_on() const { return acts_on_; }
+    const WireCount& wire() const { return watch_.wire(); }
     // Says farewell; true once it was heard, or has been waited for long enough.
     bool farewell();
 
@@ -38,7 +43,7 @@
     Timekeeper& time_;
     const MemberTerms terms_;
     const std::string name_, digest_;
-    Bridge& bridge_;
+    MemberHost& host_;
     MemberLease lease_;
     AgreedList list_;
     OutcomeWatch outcomes_;
--- a/src/standin/fleet_rig.hpp
+++ b/src/standin/fleet_rig.hpp
@@ -22,6 +22,9 @@
     int gap_ms = 20;         // between two queries of a client; each router has one
 };
 
+// The platform's settings for so many routers, shards and cells; each shard lies at `held_at` cells in a row.
+nlohmann::json rig_settings(std::size_t routers, std::size_t places, int ranges, int held_at);
+
 // Leaf calls as data nodes saw them.
 struct SeenCall {
     Moment at;
--- /dev/null
+++ b/src/standin/hollow.cpp
@@ -0,0 +1,250 @@
+#include "standin/hollow.hpp"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "service/log.hpp"
+
+namespace tealcart::standin {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using Json = nlohmann::json;
+
+constexpr Nanos ms = 1'000'000;
+constexpr Nanos step = 5 * ms, heartbeat = 100 * ms;
+constexpr int handlers_a_turn = 4096;
+
+Launch launch_of(const HollowTerms& terms, std::size_t number) {
+    Launch launch;
+    launch.name = "r" + std::to_string(number);
+    launch.operators.member.on = true;
+    launch.operators.member.zone = terms.zone;
+    launch.operators.member.stewards = terms.stewards;
+    return launch;
+}
+
+void add(WireCount& sum, const WireCount& more) {
+    sum.calls += more.calls, sum.in += more.in, sum.out += more.out;
+}
+
+Json written(const WireCount& c) { return {{"calls", c.calls}, {"in", c.in}, {"out", c.out}}; }
+
+HostPort address_of(const std::string& text) {
+    const auto at = read_host_port(text);
+    if (!at) throw std::runtime_error(text + " is no address");
+    return *at;
+}
+
+std::string text_of(const HostPort& at) { return at.host + ":" + std::to_string(at.port); }
+
+}  // namespace
+
+ListedNode hollow_node(std::uint32_t n, const std::string& address) {
+    return {"n" + std::to_string(n),
+            address,
+            "z" + std::to_string(n % hollow_zones),
+            "m" + std::to_string(n % 3),
+            n % hollow_places,
+            Availability::ready,
+            0};
+}
+
+std::vector<std::string> write_hollow(const HollowTerms& t) {
+    std::vector<std::string> words = {"--hollow",
+                                      std::to_string(t.from),
+                                      std::to_string(t.count),
+                                      std::to_string(t.control),
+                                      text_of(t.discovery),
+                                      t.zone,
+                                      t.address,
+                                      std::to_string(t.generation),
+                                      std::to_string(t.seeded),
+                                      t.whole ? "whole" : "deltas"};
+    for (const HostPort& s : t.stewards) words.push_back(text_of(s));
+    return words;
+}
+
+HollowTerms read_hollow(const std::vector<std::string>& w) {
+    if (w.size() < 11) throw std::runtime_error("too few words for a hollow process");
+    HollowTerms t;
+    t.from = std::stoull(w[1]), t.count = std::stoull(w[2]);
+    t.control = static_cast<std::uint16_t>(std::stoul(w[3]));
+    t.discovery = address_of(w[4]);
+    t.zone = w[5], t.address = w[6];
+    t.generation = std::stoull(w[7]);
+    t.seeded = static_cast<std::uint32_t>(std::stoul(w[8]));
+    t.whole = w[9] == "whole";
+    for (std::size_t i = 10; i < w.size(); ++i) t.stewards.push_back(address_of(w[i]));
+    return t;
+}
+
+HollowRouter::HollowRouter(boost::asio::io_context& io, Timekeeper& time, const HollowTerms& terms,
+                           std::size_t number)
+    : time_(time), generation_(terms.whole ? 0 : terms.generation),
+      member_(io, time, launch_of(terms, number), *this),
+      watch_(io, time, member_, terms.discovery, hollow_places, number) {
+    TargetList seeded{terms.generation, true, {}, 0};
+    for (std::uint32_t n = 0; n < terms.seeded; ++n) seeded.nodes.push_back(hollow_node(n, terms.address));
+    member_.on_list(seeded);
+}
+
+void HollowRouter::start() {
+    watch_.start(generation_);
+    member_.start();
+}
+
+void HollowRouter::stop() {
+    time_.due.drop(round_);
+    watch_.stop();
+    member_.stop();
+}
+
+void HollowRouter::look() { member_.look(); }
+
+void HollowRouter::on_list(const TargetList& list) {
+    const NodeList::News news = nodes_.take(list);
+    arrived_.insert(arrived_.end(), news.entries.begin(), news.entries.end());
+    if (round_ == Deadlines::none) round_ = time_.due.add(last_round_ + step, *this, Handle{});
+}
+
+Nanos HollowRouter::next_round() const {
+    return round_ == Deadlines::none ? Deadlines::never : last_round_ + step;
+}
+
+// What the module would be told ends here.
+void HollowRouter::on_due(Handle, std::uint64_t) {
+    round_ = Deadlines::none;
+    member_.look();
+    time_.due.drop(round_);
+    last_round_ = time_.now();
+    entries_ += arrived_.size();
+    arrived_.clear();
+    member_.after_round();
+}
+
+// Called with each renewal, so that a lease that was over for however short a time is seen.
+void HollowRouter::take_standing(const MemberStanding&) {
+    const Nanos until = member_.lease().lease_until();
+    if (until == lease_until_) return;
+    lapses_ += lease_until_ > 0 && time_.now() > lease_until_;
+    lease_until_ = until;
+}
+
+HollowProcess::HollowProcess(boost::asio::io_context& io, HollowTerms terms)
+    : io_(io), terms_(std::move(terms)),
+      reader_(io, time_, *this, terms_.discovery, hollow_places, terms_.from), control_(io) {
+    start_log({LogForm::text, LogLevel::error});
+    routers_.resize(terms_.count);
+    start(0, terms_.count);
+    reader_.start(0);
+    control_.connect({boost::asio::ip::address_v4::loopback(), terms_.control});
+    boost::asio::write(control_, boost::asio::buffer("hello " + std::to_string(terms_.from) + "\n"));
+    read();
+}
+
+void HollowProcess::start(std::size_t first, std::size_t count) {
+    for (std::size_t i = first; i < std::min(first + count, routers_.size()); ++i) {
+        if (routers_[i]) {
+            lapses_before_ += routers_[i]->lapses();
+            add(steward_before_, routers_[i]->member().wire());
+            add(discovery_before_, routers_[i]->discovery().wire());
+            routers_[i]->stop();
+            ended_.push_back(std::move(routers_[i]));
+        }
+        routers_[i] = std::make_unique<HollowRouter>(io_, time_, terms_, terms_.from + i);
+        routers_[i]->start();
+    }
+}
+
+void HollowProcess::on_list(const TargetList& list) { nodes_.take(list); }
+
+void HollowProcess::run() {
+    boost::asio::steady_timer timer(io_);
+    Nanos looked = 0, set_to = Deadlines::never;
+    while (!over_) {
+        // Set anew only for an earlier time: one that is put off would wake the loop for nothing.
+        const Nanos at = std::max(time_.now(), std::min(time_.due.next(), looked + heartbeat));
+        if (at < set_to) {
+            set_to = at;
+            timer.expires_at(time_.steady(at));
+            timer.async_wait([&set_to](const error_code& ec) {
+                if (!ec) set_to = Deadlines::never;
+            });
+        }
+        io_.run_one();
+        for (int i = 0; i < handlers_a_turn && io_.poll_one() > 0; ++i) {
+        }
+        time_.due.tell(time_.now());
+        if (time_.now() - looked < heartbeat) continue;
+        looked = time_.now();
+        ended_.clear();
+        for (const auto& r : routers_) r->look();
+    }
+}
+
+void HollowProcess::read() {
+    control_.async_read_some(boost::asio::buffer(buffer_), [this](const error_code& ec, std::size_t n) {
+        if (ec) return void(over_ = true);
+        in_.append(buffer_.data(), n);
+        for (std::size_t end = 0; (end = in_.find('\n')) != in_.npos; in_.erase(0, end + 1)) {
+            error_code failed;
+            boost::asio::write(control_, boost::asio::buffer(answer(in_.substr(0, end)) + "\n"), failed);
+        }
+        read();
+    });
+}
+
+std::string HollowProcess::answer(const std::string& line) {
+    if (line == "cut") {
+        reader_.stop();
+        for (const auto& r : routers_) r->stop();
+    } else if (line == "heal") {
+        reader_.start(0);
+        for (const auto& r : routers_) r->start();
+    } else if (line.rfind("restart ", 0) == 0) {
+        start(0, std::stoull(line.substr(8)));
+    } else {
+        return report();
+    }
+    return "{}";
+}
+
+std::string HollowProcess::report() const {
+    std::size_t holding = 0, known = nodes_.size();
+    std::uint64_t lapses = lapses_before_, entries = 0, least = UINT64_MAX, most = 0;
+    WireCount steward = steward_before_, discovery = discovery_before_;
+    for (const auto& r : routers_) {
+        holding += r->holds();
+        lapses += r->lapses();
+        entries += r->entries();
+        least = std::min(least, r->member().acts_on());
+        most = std::max(most, r->member().acts_on());
+        add(steward, r->member().wire());
+        add(discovery, r->discovery().wire());
+    }
+    rusage used{};
+    ::getrusage(RUSAGE_SELF, &used);
+    const auto seconds = [](const timeval& t) {
+        return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6;
+    };
+    return Json{{"from", terms_.from},
+                {"routers", routers_.size()},
+                {"holding", holding},
+                {"lapses", lapses},
+                {"entries", entries},
+                {"acts_on_least", least},
+                {"acts_on_most", most},
+                {"reader_nodes", known},
+                {"steward", written(steward)},
+                {"discovery", written(discovery)},
+                {"cpu_s", seconds(used.ru_utime) + seconds(used.ru_stime)}}
+        .dump();
+}
+
+}  // namespace tealcart::standin
--- /dev/null
+++ b/src/standin/hollow_rig.hpp
@@ -0,0 +1,99 @@
+// Three real stewards as processes, a discovery by script, and processes full of hollow routers
+// (standin/hollow.hpp has what is hollow of them): their figures, and what is done to them.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "standin/fleet.hpp"
+#include "standin/hollow.hpp"
+#include "standin/hollow_discovery.hpp"
+#include "standin/rig.hpp"
+
+namespace tealcart::standin {
+
+struct HollowPlan {
+    std::string programs;                       // folder of the built programs
+    std::string self;                           // the program that runs a hollow process with `--hollow ...`
+    std::size_t routers = 300, processes = 12;  // one zone each
+    std::uint32_t nodes = 1000, seeded = 64;
+    bool whole = false;  // each hollow router reads the whole list
+    std::string lease = "10s", drift = "1s", election = "600ms";
+    std::size_t stewards = 3;
+};
+
+// Of a process since its start, as the kernel counts them.
+struct ProcessFigures {
+    double cpu_s = 0, rss_mb = 0, dirty_mb = 0;  // dirty: private memory that was written
+    std::size_t descriptors = 0;
+    std::uint64_t disk = 0;  // bytes written to files
+};
+ProcessFigures figures_of(pid_t pid);
+
+// So many ports that were free a moment ago, below those that the kernel gives to connections.
+std::vector<std::uint16_t> quiet_ports(std::size_t count);
+
+// Of all hollow processes that live, together.
+struct HollowFigures {
+    std::size_t processes = 0, routers = 0, holding = 0;
+    std::uint64_t lapses = 0, entries = 0, acts_on_least = UINT64_MAX, acts_on_most = 0;
+    std::size_t reader_nodes = SIZE_MAX;  // the least that a reader has
+    WireCount steward, discovery;
+    double cpu_s = 0, dirty_mb = 0;
+};
+
+class HollowRig {
+  public:
+    HollowRig(boost::asio::io_context& io, HollowPlan plan);
+    ~HollowRig();
+
+    bool until(const std::function<bool()>& holds, std::chrono::milliseconds within);
+    void run_for(std::chrono::milliseconds span);
+
+    void start_steward(std::size_t i);
+    void start_hollow(std::size_t process);
+    // The one that last said so and lives; the number of stewards: none.
+    std::size_t leader() const;
+    HostPort steward_at(std::size_t i) const { return http_[i]; }
+    // A word to a hollow process, and its answer; null where none came within 20 s.
+    nlohmann::json say(std::size_t process, const std::string& line);
+    HollowFigures hollow();
+    bool all_hold();
+    // As a steward has it; null where it does not answer in time.
+    nlohmann::json status(std::size_t steward);
+
+    struct Drain {
+        bool granted = false, done = false;
+        double ms = -1;  // grant to done
+        std::string said;
+    };
+    // Drains a data node, waits until that is done, and takes it back.
+    Drain drain(std::uint32_t node, std::chrono::milliseconds within);
+
+    boost::asio::io_context& io;
+    const HollowPlan plan;
+    History history;
+    Folder folder;
+    std::unique_ptr<Fleet> fleet;  // what answers at the data nodes' addresses
+    std::unique_ptr<HollowDiscovery> discovery;
+    std::vector<std::unique_ptr<Process>> stewards, processes;
+
+  private:
+    struct Line;
+    bool take(Connection& c, const std::shared_ptr<std::size_t>& process);
+    nlohmann::json operate(const std::string& what, nlohmann::json body);
+    Moment said(std::size_t from, const std::string& words) const;
+
+    std::vector<HostPort> http_;
+    std::string fleet_file_, config_file_;
+    std::vector<std::weak_ptr<Connection>> lines_;  // to the hollow processes
+    std::vector<std::string> answers_;
+    std::uint64_t asked_ = 0;
+    std::unique_ptr<Door> control_;
+};
+
+}  // namespace tealcart::standin
--- a/src/wire/discovery_watch.cpp
+++ b/src/wire/discovery_watch.cpp
@@ -84,6 +84,8 @@
     if (!whole_) target += "?index=" + std::to_string(generation_) + "&wait=" + std::to_string(waits_ / ms);
     asked_at_ = time_.now();
     connection_->out = write_get(address_.host + ":" + std::to_string(address_.port), target);
+    ++wire_.calls;
+    wire_.out += connection_->out.size();
     const Nanos within = sound_ && !whole_ ? longest_wait + late : unproven_within;
     time_.due.move(due_, asked_at_ + within, *this, Handle{}, silent);
     boost::asio::async_write(connection_->socket, boost::asio::buffer(connection_->out),
@@ -100,6 +102,7 @@
                                      if (c != connection_ && c != former_) return;
                                      const bool ended = e == boost::asio::error::eof;
                                      if (e && !ended) return lose(c, e.message().c_str());
+                                     wire_.in += n;
                                      c->in.append(c->buffer.data(), n);
                                      take_answer(c, ended);
                                  });
--- a/src/wire/discovery_watch.hpp
+++ b/src/wire/discovery_watch.hpp
@@ -34,6 +34,7 @@
     void follow(HostPort address);
     // Whether discovery has told the list since the start.
     bool told() const { return told_; }
+    const WireCount& wire() const { return wire_; }
     void on_due(Handle, std::uint64_t what) override;
 
   private:
@@ -69,6 +70,7 @@
         AnswerReader reader;
         bool asked = false;  // a call is out on it
     };
+    WireCount wire_;
     Life connection_, former_;  // former_: at the address before
     Deadlines::Ticket due_ = Deadlines::none;
 };
--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -20,6 +20,11 @@
     std::string body;
 };
 
+// Of a watch since its start: calls made, and bytes over its connections as they are written and read.
+struct WireCount {
+    std::uint64_t calls = 0, in = 0, out = 0;
+};
+
 // Reads requests one after the other.
 class RequestReader {
   public:
--- a/src/wire/steward_watch.cpp
+++ b/src/wire/steward_watch.cpp
@@ -63,6 +63,8 @@
         "POST " + std::string(member_path) + " HTTP/1.1\r\nHost: " + stewards_[at_].host +
         "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
         body;
+    ++wire_.calls;
+    wire_.out += connection_->out.size();
     wait_ = call.wait;
     sent_at_ = time_.now();  // before it is written: the lease counts from here
     time_.due.move(due_, sent_at_ + wait_ + late, *this, Handle{}, silent);
@@ -78,6 +80,7 @@
                                  [this, c = life](const error_code& e, std::size_t n) {
                                      if (c != connection_) return;
                                      if (e) return give_up(e.message().c_str());
+                                     wire_.in += n;
                                      c->in.append(c->buffer.data(), n);
                                      take_answer(c);
                                  });
--- a/src/wire/steward_watch.hpp
+++ b/src/wire/steward_watch.hpp
@@ -39,6 +39,7 @@
     void next();
     // Whatever is out is dropped, and a call made anew: something has to be said at once.
     void say_now();
+    const WireCount& wire() const { return wire_; }
     void on_due(Handle, std::uint64_t what) override;
 
   private:
@@ -67,6 +68,7 @@
     int failed_ = 0;      // calls in a row
     Nanos sent_at_ = 0, wait_ = 0;
     bool owes_next_ = false, told_silent_ = false;
+    WireCount wire_;
     Life connection_;
     Deadlines::Ticket due_ = Deadlines::none;
 };
