--- a/measure/scale.cpp
+++ b/measure/scale.cpp
@@ -43,7 +43,8 @@
     Moment at = Clock::now();
     std::vector<ProcessFigures> stewards;
     std::size_t leader = 0;
-    HollowFigures hollow;
+    std::vector<HollowFigures> hollow;
+    std::map<int, std::uint64_t> answers;
     double own_cpu_s = 0;
     HollowDiscovery::Counts discovery;
 };
@@ -54,6 +55,7 @@
     for (const auto& p : rig.stewards) s.stewards.push_back(p ? figures_of(p->pid()) : ProcessFigures());
     s.own_cpu_s = figures_of(::getpid()).cpu_s;
     s.discovery = rig.discovery->counts();
+    s.answers = rig.answers;
     s.at = Clock::now();
     return s;
 }
@@ -66,13 +68,24 @@
     double discovery_in = 0, discovery_out = 0, calls = 0, discovery_calls = 0;
     double lead_mb = 0, lead_dirty_mb = 0, follow_dirty_mb = 0, router_mb = 0, lead_descriptors = 0;
     double own_cpu = 0, discovery_bytes = 0;
-    std::uint64_t lapses = 0;
+    std::uint64_t lapses = 0, good = 0, bad = 0;  // good, bad: answers of witnesses
 };
 Cost cost(const Sample& a, const Sample& b) {
     Cost c;
     c.s = std::chrono::duration<double>(b.at - a.at).count();
     const auto rate = [&c](double from, double to, double of = 1) { return (to - from) / c.s / of; };
-    const double routers = std::max<double>(1, static_cast<double>(b.hollow.routers));
+    // Processes that were there all the time; one that was started anew has other counts.
+    HollowFigures was, is;
+    const auto sum = [](HollowFigures& to, const HollowFigures& f) {
+        to.routers += f.routers, to.lapses += f.lapses, to.cpu_s += f.cpu_s, to.dirty_mb += f.dirty_mb;
+        for (const auto of : {&HollowFigures::steward, &HollowFigures::discovery}) {
+            (to.*of).calls += (f.*of).calls, (to.*of).in += (f.*of).in, (to.*of).out += (f.*of).out;
+        }
+    };
+    for (std::size_t i = 0; i < b.hollow.size(); ++i)
+        if (a.hollow[i].pid == b.hollow[i].pid && b.hollow[i].pid > 0)
+            sum(was, a.hollow[i]), sum(is, b.hollow[i]);
+    const double routers = std::max<double>(1, static_cast<double>(is.routers));
     std::size_t follow = 0;
     for (std::size_t i = 0; i < b.stewards.size(); ++i) {
         const double cpu = 1000 * rate(a.stewards[i].cpu_s, b.stewards[i].cpu_s);
@@ -92,20 +105,23 @@
         c.follow_cpu /= n, c.follow_disk /= n, c.follow_dirty_mb /= n;
     }
     const auto wire = [&](std::uint64_t WireCount::*of, WireCount HollowFigures::*whose) {
-        return rate(static_cast<double>(a.hollow.*whose.*of), static_cast<double>(b.hollow.*whose.*of),
-                    routers);
+        return rate(static_cast<double>(was.*whose.*of), static_cast<double>(is.*whose.*of), routers);
     };
-    c.router_cpu = 1000 * rate(a.hollow.cpu_s, b.hollow.cpu_s, routers);
+    c.router_cpu = 1000 * rate(was.cpu_s, is.cpu_s, routers);
     c.steward_in = wire(&WireCount::in, &HollowFigures::steward);
     c.steward_out = wire(&WireCount::out, &HollowFigures::steward);
     c.calls = wire(&WireCount::calls, &HollowFigures::steward);
     c.discovery_in = wire(&WireCount::in, &HollowFigures::discovery);
     c.discovery_out = wire(&WireCount::out, &HollowFigures::discovery);
     c.discovery_calls = wire(&WireCount::calls, &HollowFigures::discovery);
-    c.router_mb = b.hollow.dirty_mb / routers;
+    c.router_mb = is.dirty_mb / routers;
     c.own_cpu = 1000 * rate(a.own_cpu_s, b.own_cpu_s);
     c.discovery_bytes = rate(static_cast<double>(a.discovery.bytes), static_cast<double>(b.discovery.bytes));
-    c.lapses = b.hollow.lapses - a.hollow.lapses;
+    c.lapses = is.lapses - was.lapses;
+    for (const auto& [status, n] : b.answers) {
+        const auto before = a.answers.find(status);
+        (status == 200 ? c.good : c.bad) += n - (before == a.answers.end() ? 0 : before->second);
+    }
     return c;
 }
 
@@ -115,10 +131,12 @@
         "log %.0f and %.0f B/s\n"
         "    a router: %.3f ms/s, %.2f MB; stewards %.2f calls/s, %.0f B/s in, %.0f out; discovery %.2f "
         "calls/s, "
-        "%.0f B/s in, %.0f out; leases that ended wrongly: %llu; this process %.0f ms/s\n",
+        "%.0f B/s in, %.0f out; leases that ended wrongly: %llu; this process %.0f ms/s; witnesses: %llu "
+        "answers of 200, %llu others\n",
         what, c.s, c.lead_cpu, c.follow_cpu, c.lead_dirty_mb, c.lead_descriptors, c.lead_disk, c.follow_disk,
         c.router_cpu, c.router_mb, c.calls, c.steward_in, c.steward_out, c.discovery_calls, c.discovery_in,
-        c.discovery_out, static_cast<unsigned long long>(c.lapses), c.own_cpu);
+        c.discovery_out, static_cast<unsigned long long>(c.lapses), c.own_cpu,
+        static_cast<unsigned long long>(c.good), static_cast<unsigned long long>(c.bad));
     std::fflush(stdout);
 }
 
@@ -157,9 +175,7 @@
     std::printf("%zu routers, %u nodes (a list of %zu bytes): %s after %.1f s\n", r.routers, r.nodes,
                 r.list_bytes, r.up ? "all hold a lease" : "NOT all hold a lease", r.up_s);
     if (!r.up) {
-        const HollowFigures f = rig.hollow();
-        std::printf("%zu of %zu hold one, in %zu processes; what was said last:\n%s", f.holding, f.routers,
-                    f.processes, rig.history.text(40).c_str());
+        std::printf("%zu hold one; what was said last:\n%s", rig.holding(), rig.history.text(40).c_str());
         return r;
     }
     rig.run_for(Ms(12'000));  // past the hold after the start
@@ -167,8 +183,14 @@
     rig.run_for(window);
     const Sample after = sample(rig);
     r.still = cost(before, after);
-    r.reader_nodes = after.hollow.reader_nodes;
+    r.reader_nodes = SIZE_MAX;
+    for (const HollowFigures& f : after.hollow) r.reader_nodes = std::min(r.reader_nodes, f.reader_nodes);
     print("still", r.still);
+    if (r.still.lapses > 0)
+        for (const History::Event& e : rig.history.events)
+            if (e.who[0] == 's')
+                std::printf("    %.3f %s: %s\n", std::chrono::duration<double>(e.at - began).count(),
+                            e.who.c_str(), e.what.c_str());
     r.heard = true;
     for (int i = 0; i < drains; ++i) {
         r.drains.push_back(rig.drain(static_cast<std::uint32_t>(i) % rig.plan.seeded, Ms(40'000)));
@@ -188,6 +210,137 @@
     return r;
 }
 
+// A day's bench: something happens for a while, then what it cost and whether all hold their leases again.
+struct Day {
+    std::string name;
+    Cost cost;
+    double back_s = -1, leaderless_s = -1;  // until all hold a lease after what happened; without a leader
+    HollowRig::Drain drain;
+    bool may_lapse = false, is_ordinary = false;
+};
+
+constexpr double restarts_a_s = 18'000.0 / 86'400;  // of data nodes, on the ordinary day
+
+class Days {
+  public:
+    explicit Days(HollowRig& rig) : rig_(rig) {}
+
+    std::vector<Day> all() {
+        std::vector<Day> days;
+        days.push_back(day("the ordinary day's rate", false, true, [&](Day&) { restarts(1, Ms(30'000)); }));
+        days.push_back(day("20 times that rate", false, false, [&](Day&) { restarts(20, Ms(30'000)); }));
+        days.push_back(day("a zone gone and back", false, false, [&](Day& d) { zone(d); }));
+        days.push_back(day("the leader killed", false, false, [&](Day& d) { leader(d); }));
+        days.push_back(day("a third of the routers started anew", false, false, [&](Day& d) { third(d); }));
+        days.push_back(day("a sixth of the routers cut off for 15 s", true, false, [&](Day& d) { cut(d); }));
+        return days;
+    }
+
+  private:
+    Day day(std::string name, bool may_lapse, bool is_ordinary, const std::function<void(Day&)>& what) {
+        Day d;
+        d.name = std::move(name), d.may_lapse = may_lapse, d.is_ordinary = is_ordinary;
+        const Sample before = sample(rig_);
+        what(d);
+        if (d.drain.ms < 0) d.drain = rig_.drain(next_++ % rig_.plan.seeded, Ms(40'000));
+        d.cost = cost(before, sample(rig_));
+        print(d.name.c_str(), d.cost);
+        std::printf("    drain: %s, %.0f ms", d.drain.done ? "done" : "NOT done", d.drain.ms);
+        if (d.back_s >= 0) std::printf("; all hold a lease again after %.1f s", d.back_s);
+        if (d.leaderless_s >= 0) std::printf("; %.2f s without a leader", d.leaderless_s);
+        std::printf("\n");
+        std::fflush(stdout);
+        return d;
+    }
+
+    // A data node drains, goes, and is back with a new start: three changes of the list.
+    void restarts(double times, Ms span) {
+        const auto began = Clock::now();
+        std::deque<std::pair<Moment, std::pair<std::uint32_t, int>>> due;
+        double begun = 0;
+        while (Clock::now() - began < span || !due.empty()) {
+            const auto now = Clock::now();
+            const double s = std::chrono::duration<double>(now - began).count();
+            if (now - began < span && s * restarts_a_s * times > begun) {
+                ++begun;
+                const std::uint32_t n = rig_.plan.seeded + turn_++ % (rig_.plan.nodes - rig_.plan.seeded);
+                for (int i = 0; i < 3; ++i) due.push_back({now + Ms(300 * i), {n, i}});
+                std::sort(due.begin(), due.end());
+            }
+            while (!due.empty() && due.front().first <= now) {
+                const auto [n, what] = due.front().second;
+                due.pop_front();
+                rig_.discovery->set(n,
+                                    what == 0   ? Availability::draining
+                                    : what == 1 ? Availability::gone
+                                                : Availability::ready,
+                                    what == 2 ? epoch_now() : 0);
+                rig_.discovery->tell();
+            }
+            rig_.run_for(Ms(5));
+        }
+    }
+
+    void zone(Day& d) {
+        const auto all = [&](Availability a, Nanos started) {
+            for (std::uint32_t n = 0; n < rig_.plan.nodes; ++n)
+                if (n % hollow_zones == 3) rig_.discovery->set(n, a, started);
+            rig_.discovery->tell();
+        };
+        rig_.processes[3]->signal(SIGKILL);
+        all(Availability::gone, 0);
+        rig_.run_for(Ms(20'000));
+        all(Availability::ready, epoch_now());
+        rig_.start_hollow(3);
+        d.back_s = back();
+    }
+
+    void leader(Day& d) {
+        const std::size_t old = rig_.leader();
+        if (old == rig_.plan.stewards) return;
+        const auto from = Clock::now();
+        rig_.stewards[old]->signal(SIGKILL);
+        if (rig_.until([&] { return rig_.leader() < rig_.plan.stewards; }, Ms(30'000)))
+            d.leaderless_s = seconds_since(from);
+        rig_.run_for(Ms(15'000));
+        d.back_s = back();
+        rig_.start_steward(old);
+        rig_.run_for(Ms(5000));
+    }
+
+    void third(Day& d) {
+        for (std::size_t i = 0; i < rig_.plan.processes; ++i)
+            rig_.say(i, "restart " + std::to_string(rig_.plan.routers / rig_.plan.processes / 3));
+        d.back_s = back();
+        rig_.run_for(Ms(10'000));
+    }
+
+    void cut(Day& d) {
+        for (const std::size_t i : {0, 1}) rig_.say(i, "cut");
+        d.drain = rig_.drain(next_++ % rig_.plan.seeded, Ms(40'000));
+        rig_.run_for(Ms(5000));
+        for (const std::size_t i : {0, 1}) rig_.say(i, "heal");
+        d.back_s = back();
+    }
+
+    double back() {
+        const auto from = Clock::now();
+        const bool held = rig_.until([&] { return rig_.run_for(Ms(100)), rig_.all_hold(); }, Ms(300'000));
+        return held ? seconds_since(from) : 1e9;
+    }
+    static double seconds_since(Moment from) {
+        return std::chrono::duration<double>(Clock::now() - from).count();
+    }
+    static Nanos epoch_now() {
+        return std::chrono::duration_cast<std::chrono::nanoseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    }
+
+    HollowRig& rig_;
+    std::uint32_t next_ = 10, turn_ = 0;
+};
+
 // A line through points by least squares.
 struct Slope {
     std::string name, unit, per;
@@ -216,6 +369,70 @@
     }
 };
 
+// For CI: counts alone, which hold on a machine that has little time for it.
+int quickly(Aims& aim) {
+    boost::asio::io_context io(1);
+    HollowPlan plan = plan_of(120, 2000);
+    plan.processes = 4;
+    plan.lease = "60s";  // no lease ends in the run, however late a process is woken
+    HollowRig rig(io, std::move(plan));
+    const bool up = rig.until([&] { return rig.run_for(Ms(100)), rig.all_hold(); }, Ms(60'000));
+    aim(up, "120 routers hold a lease");
+    const auto read = [&] {
+        for (const HollowFigures& f : rig.hollow())
+            if (f.reader_nodes != rig.plan.nodes) return false;
+        return true;
+    };
+    aim(rig.until([&] { return rig.run_for(Ms(100)), read(); }, Ms(60'000)), "each reader has 2,000 nodes");
+    const HollowRig::Drain drain = rig.drain(5, Ms(60'000));
+    aim(drain.done, "a drain is done");
+    // Until all have acted on the node's way back, which is an entry of the list too.
+    const Json agreed = rig.status(rig.leader() % rig.plan.stewards);
+    const std::uint64_t generation =
+        agreed.is_object() ? agreed["generation"].get<std::uint64_t>() : UINT64_MAX;
+    const auto acted = [&] {
+        for (const HollowFigures& f : rig.hollow())
+            if (f.acts_on_least != generation) return false;
+        return true;
+    };
+    aim(rig.until([&] { return rig.run_for(Ms(100)), acted(); }, Ms(60'000)),
+        "all act on what was agreed last");
+    // What has changed reaches each router once: as many entries as nodes changed, and their bytes.
+    const Sample before = sample(rig);
+    constexpr std::uint32_t changed = 100;
+    for (std::uint32_t n = 1000; n < 1000 + changed; ++n) rig.discovery->set(n, Availability::draining);
+    rig.discovery->tell();
+    const auto entries = [](const std::vector<HollowFigures>& all) {
+        std::uint64_t sum = 0;
+        for (const HollowFigures& f : all) sum += f.entries;
+        return sum;
+    };
+    const std::uint64_t due = entries(before.hollow) + changed * rig.plan.routers;
+    const bool told =
+        rig.until([&] { return rig.run_for(Ms(100)), entries(rig.hollow()) >= due; }, Ms(60'000));
+    const Sample after = sample(rig);
+    const std::uint64_t got = entries(after.hollow) - entries(before.hollow);
+    aim(told && got == changed * rig.plan.routers, "each change of the list reaches each router once");
+    std::uint64_t bytes = 0, lapses = 0, calls = 0;
+    for (std::size_t i = 0; i < after.hollow.size(); ++i) {
+        const HollowFigures &a = before.hollow[i], &b = after.hollow[i];
+        bytes += b.discovery.in - a.discovery.in;
+        calls += b.steward.calls;
+        lapses += b.lapses;
+    }
+    const double each = static_cast<double>(bytes) / static_cast<double>(rig.plan.routers * changed);
+    aim(each > 100 && each < 400, "bytes of a changed node to a router");
+    aim(calls >= rig.plan.routers, "each router has called the stewards");
+    aim(lapses == 0, "leases that ended wrongly");
+    std::printf(
+        "scale: quick routers=120 nodes=2000 entries=%llu of %llu, %.0f bytes each, wrong=%llu, drain %s; "
+        "%s\n",
+        static_cast<unsigned long long>(got), static_cast<unsigned long long>(changed * rig.plan.routers),
+        each, static_cast<unsigned long long>(lapses), drain.done ? "done" : "NOT done",
+        aim.kept ? "kept" : "MISSED");
+    return aim.kept ? 0 : 1;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -228,9 +445,14 @@
         return 0;
     }
     std::string json, only;
+    bool with_days = true, quick = false;
+    std::size_t witnesses = 6;
     for (std::size_t i = 0; i < words.size(); ++i) {
         if (words[i] == "--json" && i + 1 < words.size()) json = words[++i];
         if (words[i] == "--only" && i + 1 < words.size()) only = words[++i];
+        if (words[i] == "--witnesses" && i + 1 < words.size()) witnesses = std::stoull(words[++i]);
+        if (words[i] == "--no-days") with_days = false;
+        if (words[i] == "--quick") quick = true;
     }
     std::vector<std::pair<std::size_t, std::uint32_t>> ladder = {
         {300, 1000}, {1200, 1000}, {3600, 1000}, {300, 10'000}, {300, 81'000}, {3600, 81'000}};
@@ -238,11 +460,17 @@
         ladder = {
             {std::stoull(only), static_cast<std::uint32_t>(std::stoul(only.substr(only.find('x') + 1)))}};
     Aims aim;
+    if (quick) return quickly(aim);
     std::vector<Rung> rungs;
+    std::vector<Day> days;
     for (const auto& [routers, nodes] : ladder) {
         boost::asio::io_context io(1);
-        HollowRig rig(io, plan_of(routers, nodes));
+        HollowPlan plan = plan_of(routers, nodes);
+        plan.witnesses = witnesses;
+        HollowRig rig(io, std::move(plan));
         rungs.push_back(climb(rig, std::chrono::seconds(20), 3));
+        const bool last = rungs.size() == ladder.size();
+        if (last && with_days && rungs.back().up) days = Days(rig).all();
     }
     for (const Rung& r : rungs) {
         const std::string at = " at " + std::to_string(r.routers) + " x " + std::to_string(r.nodes);
@@ -255,6 +483,18 @@
                 router_bytes_s * ordinary,
             "a router's bytes" + at);
     }
+    for (const Day& d : days) {
+        const std::string at = ": " + d.name;
+        aim(d.may_lapse || d.cost.lapses == 0, "leases that ended wrongly" + at);
+        aim(d.drain.done && d.drain.ms <= done_within_ms, "a drain done within 19 s" + at);
+        aim(d.back_s <= cold_start_s, "all hold a lease again within 5 minutes" + at);
+        const double share = d.is_ordinary ? ordinary : 1;
+        aim(d.cost.router_cpu <= router_cpu_ms_s * share, "a router's processor time" + at);
+        aim(d.cost.steward_in + d.cost.steward_out + d.cost.discovery_in + d.cost.discovery_out <=
+                router_bytes_s * share,
+            "a router's bytes" + at);
+        aim(d.cost.lead_cpu <= leader_cpu_ms_s, "leader's processor time" + at);
+    }
     std::vector<Slope> slopes;
     const auto along = [&](const char* name, const char* unit, const char* per, double Cost::*of) {
         std::vector<std::pair<double, double>> points;
@@ -304,6 +544,12 @@
             " %zux%u=up_s:%.1f,lead_ms_s:%.1f,follow_ms_s:%.1f,router_ms_s:%.3f,drain_ms:%.0f,wrong:%llu",
             r.routers, r.nodes, r.up_s, r.still.lead_cpu, r.still.follow_cpu, r.still.router_cpu, r.drain_ms,
             static_cast<unsigned long long>(r.still.lapses));
+    for (const Day& d : days)
+        std::printf(
+            " [%s]=lead_ms_s:%.1f,router_ms_s:%.3f,router_B_s:%.0f,drain_ms:%.0f,back_s:%.1f,wrong:%llu",
+            d.name.c_str(), d.cost.lead_cpu, d.cost.router_cpu,
+            d.cost.steward_in + d.cost.steward_out + d.cost.discovery_in + d.cost.discovery_out, d.drain.ms,
+            d.back_s, static_cast<unsigned long long>(d.cost.lapses));
     std::printf(" %s\n", aim.kept ? "kept" : "MISSED");
     return aim.kept ? 0 : 1;
 }
--- a/src/standin/hollow_rig.cpp
+++ b/src/standin/hollow_rig.cpp
@@ -88,7 +88,7 @@
     fleet = std::make_unique<Fleet>(io, read_script(script_text(), "hollow"));
     std::vector<std::string> addresses;
     for (const DataNode& n : fleet->nodes) addresses.push_back(n.address());
-    const auto ports = quiet_ports(2 * plan.stewards + 2);
+    const auto ports = quiet_ports(2 * plan.stewards + 2 + plan.witnesses);
     discovery = std::make_unique<HollowDiscovery>(io, ports[0], plan.nodes, addresses);
     lines_.resize(plan.processes);
     answers_.resize(plan.processes);
@@ -127,9 +127,12 @@
         start_steward(i);
     }
     for (std::size_t i = 0; i < plan.processes; ++i) start_hollow(i);
+    for (std::size_t i = 0; i < plan.witnesses; ++i) start_witness(i, ports[2 * plan.stewards + 2 + i]);
 }
 
-HollowRig::~HollowRig() = default;
+HollowRig::~HollowRig() {
+    for (Asker& a : askers_) a.client.reset();
+}
 
 void HollowRig::start_steward(std::size_t i) {
     stewards[i].reset();
@@ -206,33 +209,77 @@
     return Json::parse(answers_[process], nullptr, false);
 }
 
-HollowFigures HollowRig::hollow() {
-    HollowFigures sum;
+std::vector<HollowFigures> HollowRig::hollow() {
+    std::vector<HollowFigures> all(plan.processes);
     for (std::size_t i = 0; i < plan.processes; ++i) {
         if (!processes[i] || processes[i]->ended()) continue;
         const Json r = say(i, "report");
         if (!r.is_object()) continue;
-        ++sum.processes;
-        sum.routers += r["routers"].get<std::size_t>();
-        sum.holding += r["holding"].get<std::size_t>();
-        sum.lapses += r["lapses"].get<std::uint64_t>();
-        sum.entries += r["entries"].get<std::uint64_t>();
-        sum.acts_on_least = std::min(sum.acts_on_least, r["acts_on_least"].get<std::uint64_t>());
-        sum.acts_on_most = std::max(sum.acts_on_most, r["acts_on_most"].get<std::uint64_t>());
-        sum.reader_nodes = std::min(sum.reader_nodes, r["reader_nodes"].get<std::size_t>());
-        for (const auto& [key, of] :
-             {std::pair("steward", &sum.steward), std::pair("discovery", &sum.discovery)}) {
-            of->calls += r[key]["calls"].get<std::uint64_t>();
-            of->in += r[key]["in"].get<std::uint64_t>();
-            of->out += r[key]["out"].get<std::uint64_t>();
-        }
-        sum.cpu_s += r["cpu_s"].get<double>();
-        sum.dirty_mb += figures_of(processes[i]->pid()).dirty_mb;
+        HollowFigures& f = all[i];
+        f.pid = processes[i]->pid();
+        f.routers = r["routers"], f.holding = r["holding"], f.reader_nodes = r["reader_nodes"];
+        f.lapses = r["lapses"], f.entries = r["entries"], f.cpu_s = r["cpu_s"];
+        f.acts_on_least = r["acts_on_least"], f.acts_on_most = r["acts_on_most"];
+        for (const auto& [key, of] : {std::pair("steward", &f.steward), std::pair("discovery", &f.discovery)})
+            *of = {r[key]["calls"], r[key]["in"], r[key]["out"]};
+        f.dirty_mb = figures_of(f.pid).dirty_mb;
     }
+    return all;
+}
+
+std::size_t HollowRig::holding() {
+    std::size_t sum = 0;
+    for (const HollowFigures& f : hollow()) sum += f.holding;
     return sum;
 }
 
-bool HollowRig::all_hold() { return hollow().holding == plan.routers; }
+void HollowRig::start_witness(std::size_t i, std::uint16_t port) {
+    const std::string name = "w" + std::to_string(i);
+    const Json config = {{"name", name},
+                         {"listen", at(port)},
+                         {"discovery", at(discovery->port())},
+                         {"seed", "8c1f30d27a5be9" + std::to_string(10 + i % 90)},
+                         {"limits", {{"cores", 1.0}, {"memory_mb", 256}, {"sockets", 1024}}},
+                         {"known", {{"generation", 0}, {"reset", true}, {"instances", Json::array()}}},
+                         {"settings", rig_settings(plan.routers, hollow_places, shards, width)}};
+    std::string list;
+    for (const HostPort& s : http_) list += (list.empty() ? "\"" : ", \"") + at(s.port) + "\"";
+    witnesses.push_back(std::make_unique<Process>(
+        io, history, name,
+        std::vector<std::string>{
+            plan.programs + "/tealcart", "serve", "--config", folder.write(name + ".json", config.dump()),
+            "--file",
+            folder.write(name + ".hcl", "member {\n zone = \"z0\"\n stewards = [" + list + "]\n}\n")}));
+    askers_.push_back({port, nullptr, std::make_unique<boost::asio::steady_timer>(io), 0});
+    ask(i);
+}
+
+void HollowRig::ask(std::size_t i) {
+    const auto again = [this, i](int status, Ms pause) {
+        if (status >= 0) ++answers[status];
+        if (status <= 0) askers_[i].client.reset();
+        askers_[i].timer->expires_after(pause);
+        askers_[i].timer->async_wait([this, i](const boost::system::error_code& ec) {
+            if (!ec) ask(i);
+        });
+    };
+    Asker& a = askers_[i];
+    Asking asking;
+    asking.vertical = "search";
+    asking.id = "q" + std::to_string(i) + "-" + std::to_string(++a.asked);
+    for (std::uint32_t s = 0; s < 4; ++s)
+        asking.shards.push_back(static_cast<std::uint32_t>(a.asked * 4 + s) % shards);
+    try {
+        // A client's connection that ends is told from within its own handler: the next is made after it.
+        if (!a.client)
+            a.client = std::make_unique<Client>(io, a.port, [this, again](Answered got) {
+                boost::asio::post(io, [this, again, status = got.status] { again(status, Ms(plan.gap_ms)); });
+            });
+        a.client->ask(asking);
+    } catch (const boost::system::system_error&) {
+        again(-1, Ms(200));  // the router is not there: no query of its
+    }
+}
 
 Json HollowRig::status(std::size_t i) {
     const auto reply = steward::ask_once(io, http_[i], "/fleet/status", "", Ms(30'000));
--- a/src/standin/hollow_rig.hpp
+++ b/src/standin/hollow_rig.hpp
@@ -3,12 +3,15 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
+#include "standin/client.hpp"
 #include "standin/fleet.hpp"
 #include "standin/hollow.hpp"
 #include "standin/hollow_discovery.hpp"
@@ -24,6 +27,9 @@
     bool whole = false;  // each hollow router reads the whole list
     std::string lease = "10s", drift = "1s", election = "600ms";
     std::size_t stewards = 3;
+    // Real routers beside, each with one client that asks four shards at a time, one query after the other.
+    std::size_t witnesses = 0;
+    int gap_ms = 20;
 };
 
 // Of a process since its start, as the kernel counts them.
@@ -37,11 +43,11 @@
 // So many ports that were free a moment ago, below those that the kernel gives to connections.
 std::vector<std::uint16_t> quiet_ports(std::size_t count);
 
-// Of all hollow processes that live, together.
+// Of one hollow process; the rig adds them up.
 struct HollowFigures {
-    std::size_t processes = 0, routers = 0, holding = 0;
-    std::uint64_t lapses = 0, entries = 0, acts_on_least = UINT64_MAX, acts_on_most = 0;
-    std::size_t reader_nodes = SIZE_MAX;  // the least that a reader has
+    pid_t pid = -1;  // -1: it does not answer
+    std::size_t routers = 0, holding = 0, reader_nodes = 0;
+    std::uint64_t lapses = 0, entries = 0, acts_on_least = 0, acts_on_most = 0;
     WireCount steward, discovery;
     double cpu_s = 0, dirty_mb = 0;
 };
@@ -61,8 +67,9 @@
     HostPort steward_at(std::size_t i) const { return http_[i]; }
     // A word to a hollow process, and its answer; null where none came within 20 s.
     nlohmann::json say(std::size_t process, const std::string& line);
-    HollowFigures hollow();
-    bool all_hold();
+    std::vector<HollowFigures> hollow();  // by process
+    std::size_t holding();                // routers that hold a lease
+    bool all_hold() { return holding() == plan.routers; }
     // As a steward has it; null where it does not answer in time.
     nlohmann::json status(std::size_t steward);
 
@@ -80,10 +87,18 @@
     Folder folder;
     std::unique_ptr<Fleet> fleet;  // what answers at the data nodes' addresses
     std::unique_ptr<HollowDiscovery> discovery;
-    std::vector<std::unique_ptr<Process>> stewards, processes;
+    std::vector<std::unique_ptr<Process>> stewards, processes, witnesses;
+    std::map<int, std::uint64_t> answers;  // of the witnesses' clients, by status
 
   private:
-    struct Line;
+    struct Asker {
+        std::uint16_t port = 0;
+        std::unique_ptr<Client> client;
+        std::unique_ptr<boost::asio::steady_timer> timer;
+        std::uint64_t asked = 0;
+    };
+    void start_witness(std::size_t i, std::uint16_t port);
+    void ask(std::size_t i);
     bool take(Connection& c, const std::shared_ptr<std::size_t>& process);
     nlohmann::json operate(const std::string& what, nlohmann::json body);
     Moment said(std::size_t from, const std::string& words) const;
@@ -93,6 +108,7 @@
     std::vector<std::weak_ptr<Connection>> lines_;  // to the hollow processes
     std::vector<std::string> answers_;
     std::uint64_t asked_ = 0;
+    std::deque<Asker> askers_;
     std::unique_ptr<Door> control_;
 };
 
