measure scale: the cells of a deployment follow its nodes, bounds of lists by them

Cause: a list's bound follows from the settings' cells now, and 74 cells for 81,000 nodes is no deployment. Change: a cell for each three nodes, a shard for each cell, at three cells each; hollow watches get the bound.

--- a/src/standin/hollow.cpp
+++ b/src/standin/hollow.cpp
@@ -20,12 +20,22 @@
 constexpr Nanos step = 5 * ms, heartbeat = 100 * ms;
 constexpr int handlers_a_turn = 4096;
 
+constexpr std::size_t memory = 256 << 20;  // of a router, as the plan has it
+
+Terms settled(const HollowTerms& terms) {
+    Terms t;
+    t.places = static_cast<int>(terms.places);
+    t.width = static_cast<int>(hollow_width);
+    return t;
+}
+
 Launch launch_of(const HollowTerms& terms, std::size_t number) {
     Launch launch;
     launch.name = "r" + std::to_string(number);
     launch.operators.member.on = true;
     launch.operators.member.zone = terms.zone;
     launch.operators.member.stewards = terms.stewards;
+    launch.agreed_bound = bound_of_agreed(settled(terms), memory);
     return launch;
 }
 
@@ -45,12 +55,14 @@
 
 }  // namespace
 
-ListedNode hollow_node(std::uint32_t n, const std::string& address) {
+std::uint32_t hollow_places(std::uint32_t nodes) { return std::max(least_places, nodes / hollow_width); }
+
+ListedNode hollow_node(std::uint32_t n, std::uint32_t places, const std::string& address) {
     return {"n" + std::to_string(n),
             address,
             "z" + std::to_string(n % hollow_zones),
             "m" + std::to_string(n % 3),
-            n % hollow_places,
+            n % places,
             Availability::ready,
             0};
 }
@@ -64,6 +76,7 @@
                                       t.zone,
                                       t.address,
                                       std::to_string(t.generation),
+                                      std::to_string(t.places),
                                       std::to_string(t.seeded),
                                       t.whole ? "whole" : "deltas"};
     for (const HostPort& s : t.stewards) words.push_back(text_of(s));
@@ -71,16 +84,17 @@
 }
 
 HollowTerms read_hollow(const std::vector<std::string>& w) {
-    if (w.size() < 11) throw std::runtime_error("too few words for a hollow process");
+    if (w.size() < 12) throw std::runtime_error("too few words for a hollow process");
     HollowTerms t;
     t.from = std::stoull(w[1]), t.count = std::stoull(w[2]);
     t.control = static_cast<std::uint16_t>(std::stoul(w[3]));
     t.discovery = address_of(w[4]);
     t.zone = w[5], t.address = w[6];
     t.generation = std::stoull(w[7]);
-    t.seeded = static_cast<std::uint32_t>(std::stoul(w[8]));
-    t.whole = w[9] == "whole";
-    for (std::size_t i = 10; i < w.size(); ++i) t.stewards.push_back(address_of(w[i]));
+    t.places = static_cast<std::uint32_t>(std::stoul(w[8]));
+    t.seeded = static_cast<std::uint32_t>(std::stoul(w[9]));
+    t.whole = w[10] == "whole";
+    for (std::size_t i = 11; i < w.size(); ++i) t.stewards.push_back(address_of(w[i]));
     return t;
 }
 
@@ -88,9 +102,11 @@
                            std::size_t number)
     : time_(time), generation_(terms.whole ? 0 : terms.generation),
       member_(io, time, launch_of(terms, number), *this),
-      watch_(io, time, member_, terms.discovery, hollow_places, number) {
+      watch_(io, time, member_, terms.discovery, terms.places, number,
+             bound_of_list(settled(terms), memory)) {
     TargetList seeded{terms.generation, true, {}, 0};
-    for (std::uint32_t n = 0; n < terms.seeded; ++n) seeded.nodes.push_back(hollow_node(n, terms.address));
+    for (std::uint32_t n = 0; n < terms.seeded; ++n)
+        seeded.nodes.push_back(hollow_node(n, terms.places, terms.address));
     member_.on_list(seeded);
 }
 
@@ -137,8 +153,9 @@
 }
 
 HollowProcess::HollowProcess(boost::asio::io_context& io, HollowTerms terms)
-    : io_(io), terms_(std::move(terms)),
-      reader_(io, time_, *this, terms_.discovery, hollow_places, terms_.from), control_(io) {
+    : io_(io), terms_(std::move(terms)), reader_(io, time_, *this, terms_.discovery, terms_.places,
+                                                 terms_.from, bound_of_list(settled(terms_), memory)),
+      control_(io) {
     start_log({LogForm::text, LogLevel::error});
     routers_.resize(terms_.count);
     start(0, terms_.count);
--- a/src/standin/hollow.hpp
+++ b/src/standin/hollow.hpp
@@ -20,9 +20,11 @@
 
 namespace tealcart::standin {
 
-// The n-th data node of a hollow fleet, in one of twelve zones; 74 cells.
-constexpr std::uint32_t hollow_zones = 12, hollow_places = 74;
-ListedNode hollow_node(std::uint32_t n, const std::string& address);
+// A hollow fleet has a cell for each three data nodes, and a shard for each cell, which lies at three cells.
+constexpr std::uint32_t hollow_zones = 12, hollow_width = 3, least_places = 74;
+std::uint32_t hollow_places(std::uint32_t nodes);
+// Its n-th data node.
+ListedNode hollow_node(std::uint32_t n, std::uint32_t places, const std::string& address);
 
 struct HollowTerms {
     std::size_t from = 0, count = 0;  // routers r<from> to r<from + count - 1>
@@ -31,8 +33,8 @@
     std::vector<HostPort> stewards;
     std::string zone, address;  // address: of each data node
     std::uint64_t generation = 0;
-    std::uint32_t seeded = 0;  // the first so many data nodes
-    bool whole = false;        // each router reads the whole list, in place of the reader alone
+    std::uint32_t places = least_places, seeded = 0;  // seeded: the first so many data nodes
+    bool whole = false;  // each router reads the whole list, in place of the reader alone
 };
 
 // As words of a command line and back; throws std::runtime_error on noise.
--- a/src/standin/hollow_discovery.cpp
+++ b/src/standin/hollow_discovery.cpp
@@ -55,7 +55,7 @@
                                  std::vector<std::string> addresses)
     : io_(io), acceptor_(io, {boost::asio::ip::address_v4::loopback(), port}) {
     for (std::uint32_t n = 0; n < nodes; ++n)
-        nodes_.push_back(hollow_node(n, addresses[n % addresses.size()]));
+        nodes_.push_back(hollow_node(n, hollow_places(nodes), addresses[n % addresses.size()]));
     accept();
 }
 
--- a/src/standin/hollow_rig.cpp
+++ b/src/standin/hollow_rig.cpp
@@ -19,19 +19,24 @@
 using Ms = std::chrono::milliseconds;
 using Clock = std::chrono::steady_clock;
 
-constexpr int shards = 74, width = 3;
+constexpr int asked = 74;  // shards that witnesses' clients ask for
 constexpr std::size_t listeners = 12;
 
 std::string script_text() {
-    std::string text = "fleet {\n shards = " + std::to_string(shards) +
-                       "\n places = " + std::to_string(hollow_places) +
-                       "\n width = " + std::to_string(width) + "\n rows = 1\n}\n";
+    std::string text = "fleet {\n shards = " + std::to_string(asked) +
+                       "\n places = " + std::to_string(least_places) +
+                       "\n width = " + std::to_string(hollow_width) + "\n rows = 1\n}\n";
     for (std::size_t n = 0; n < listeners; ++n)
         text += "node \"l" + std::to_string(n) + "\" {\n place = " + std::to_string(n) +
                 "\n zone = \"z0\"\n call_delay = \"2ms\"\n}\n";
     return text;
 }
 
+Json settings_of(const HollowPlan& plan) {
+    const auto places = hollow_places(plan.nodes);
+    return rig_settings(plan.routers, places, static_cast<int>(places), hollow_width);
+}
+
 std::string at(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
 }  // namespace
@@ -114,7 +119,7 @@
                          {"seed", "8c1f30d27a5be910"},
                          {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
                          {"known", {{"generation", 0}, {"reset", true}, {"instances", Json::array()}}},
-                         {"settings", rig_settings(plan.routers, hollow_places, shards, width)}};
+                         {"settings", settings_of(plan)}};
     config_file_ = folder.write("config.json", config.dump());
     stewards.resize(plan.stewards);
     processes.resize(plan.processes);
@@ -153,6 +158,7 @@
     terms.zone = "z" + std::to_string(i % hollow_zones);
     terms.address = discovery->node(0).address;
     terms.generation = discovery->generation();
+    terms.places = hollow_places(plan.nodes);
     terms.seeded = std::min(plan.seeded, plan.nodes);
     terms.whole = plan.whole;
     std::vector<std::string> words = write_hollow(terms);
@@ -241,7 +247,7 @@
                          {"seed", "8c1f30d27a5be9" + std::to_string(10 + i % 90)},
                          {"limits", {{"cores", 1.0}, {"memory_mb", 256}, {"sockets", 1024}}},
                          {"known", {{"generation", 0}, {"reset", true}, {"instances", Json::array()}}},
-                         {"settings", rig_settings(plan.routers, hollow_places, shards, width)}};
+                         {"settings", settings_of(plan)}};
     std::string list;
     for (const HostPort& s : http_) list += (list.empty() ? "\"" : ", \"") + at(s.port) + "\"";
     witnesses.push_back(std::make_unique<Process>(
@@ -268,7 +274,7 @@
     asking.vertical = "search";
     asking.id = "q" + std::to_string(i) + "-" + std::to_string(++a.asked);
     for (std::uint32_t s = 0; s < 4; ++s)
-        asking.shards.push_back(static_cast<std::uint32_t>(a.asked * 4 + s) % shards);
+        asking.shards.push_back(static_cast<std::uint32_t>(a.asked * 4 + s) % asked);
     try {
         // A client's connection that ends is told from within its own handler: the next is made after it.
         if (!a.client)
