--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -18,6 +18,7 @@
     std::string id, deadline, key;
     bool retry = false, keep_alive = true;
     std::string body;
+    std::string query;  // what stands behind the path's '?'
 };
 
 // Of a watch since its start: calls made, and bytes over its connections as they are written and read.
