--- a/measure/scale.cpp
+++ b/measure/scale.cpp
@@ -459,6 +459,15 @@
     if (!only.empty())
         ladder = {
             {std::stoull(only), static_cast<std::uint32_t>(std::stoul(only.substr(only.find('x') + 1)))}};
+    std::printf(
+        "Real: stewards, their logs, and the witnesses (routers with traffic). Hollow: the other routers run "
+        "the "
+        "program's\nmembership, lease, list and watches on sockets, hundreds in a process and thread, know "
+        "but %u "
+        "nodes and what\nchanges, and have no module and no queries; one reader a process has the whole "
+        "list. "
+        "Discovery is a script, data\nnodes are its entries, twelve listeners answer for them all.\n",
+        plan_of(1, 1).seeded);
     Aims aim;
     if (quick) return quickly(aim);
     std::vector<Rung> rungs;
