--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -21,6 +21,11 @@
     std::string query = {};  // what stands behind the path's '?'
 };
 
+// Of a watch since its start: calls made, and bytes over its connections as they are written and read.
+struct WireCount {
+    std::uint64_t calls = 0, in = 0, out = 0;
+};
+
 // Reads requests one after the other; a body is let in up to `longest`.
 class RequestReader {
   public:
--- a/src/wire/post_watch.cpp
+++ b/src/wire/post_watch.cpp
@@ -65,6 +65,8 @@
         "POST " + path_ + " HTTP/1.1\r\nHost: " + addresses_[at_].host +
         "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(call.body.size()) +
         "\r\n\r\n" + call.body;
+    ++wire_.calls;
+    wire_.out += connection_->out.size();
     sent_at_ = time_.now();  // before it is written: the lease counts from here
     time_.due.move(due_, sent_at_ + call.wait + late, *this, Handle{}, silent);
     boost::asio::async_write(connection_->socket, boost::asio::buffer(connection_->out),
@@ -79,6 +81,7 @@
                                  [this, c = life](const error_code& e, std::size_t n) {
                                      if (c != connection_) return;
                                      if (e) return give_up(e.message().c_str());
+                                     wire_.in += n;
                                      c->in.append(c->buffer.data(), n);
                                      take_answer(c);
                                  });
--- a/src/wire/post_watch.hpp
+++ b/src/wire/post_watch.hpp
@@ -57,6 +57,7 @@
     // A call is out, and its answer is waited for.
     bool waits() const { return connection_ && sent_at_ > 0 && !owes_next_; }
     const HostPort& address() const { return addresses_[at_]; }
+    const WireCount& wire() const { return wire_; }
     void on_due(Handle, std::uint64_t what) override;
 
   private:
@@ -88,6 +89,7 @@
     int failed_ = 0;     // calls in a row
     Nanos sent_at_ = 0;  // 0: nothing was sent on this connection
     bool owes_next_ = false, told_silent_ = false, told_long_ = false;
+    WireCount wire_;
     Life connection_;
     Deadlines::Ticket due_ = Deadlines::none;
 };
--- a/src/wire/steward_watch.hpp
+++ b/src/wire/steward_watch.hpp
@@ -34,6 +34,7 @@
     void next() { watch_.next(); }
     // Whatever is out is dropped, and a call made anew: something has to be said at once.
     void say_now() { watch_.say_now(); }
+    const WireCount& wire() const { return watch_.wire(); }
 
   private:
     Call call() override;
