--- a/measure/scale.cpp
+++ b/measure/scale.cpp
@@ -2,7 +2,8 @@
 // them) and lists of nodes against three real stewards on loopback, and days at a top rung. Costs are
 // processor time and bytes, not wall clock, except where the aim is one: the machine may be shared.
 //
-//   measure_scale [--quick] [--only ROUTERSxNODES] [--json FILE]
+//   measure_scale [--quick] [--only ROUTERSxNODES] [--no-days | --day WORDS] [--processes N] [--witnesses N]
+//                 [--json FILE]
 //
 // The last line has the figures; status 1 where an aim is missed.
 #include <unistd.h>
@@ -42,6 +43,7 @@
 struct Sample {
     Moment at = Clock::now();
     std::vector<ProcessFigures> stewards;
+    std::vector<pid_t> pids;  // of the stewards
     std::size_t leader = 0;
     std::vector<HollowFigures> hollow;
     std::map<int, std::uint64_t> answers;
@@ -52,6 +54,7 @@
     Sample s;
     s.hollow = rig.hollow();
     s.leader = rig.leader();
+    for (const auto& p : rig.stewards) s.pids.push_back(p ? p->pid() : -1);
     for (const auto& p : rig.stewards) s.stewards.push_back(p ? figures_of(p->pid()) : ProcessFigures());
     s.own_cpu_s = figures_of(::getpid()).cpu_s;
     s.discovery = rig.discovery->counts();
@@ -88,6 +91,7 @@
     const double routers = std::max<double>(1, static_cast<double>(is.routers));
     std::size_t follow = 0;
     for (std::size_t i = 0; i < b.stewards.size(); ++i) {
+        if (a.pids[i] != b.pids[i]) continue;  // started anew
         const double cpu = 1000 * rate(a.stewards[i].cpu_s, b.stewards[i].cpu_s);
         const double disk =
             rate(static_cast<double>(a.stewards[i].disk), static_cast<double>(b.stewards[i].disk));
@@ -225,19 +229,25 @@
   public:
     explicit Days(HollowRig& rig) : rig_(rig) {}
 
-    std::vector<Day> all() {
+    // Those whose name holds `only`.
+    std::vector<Day> all(const std::string& only) {
         std::vector<Day> days;
-        days.push_back(day("the ordinary day's rate", false, true, [&](Day&) { restarts(1, Ms(30'000)); }));
-        days.push_back(day("20 times that rate", false, false, [&](Day&) { restarts(20, Ms(30'000)); }));
-        days.push_back(day("a zone gone and back", false, false, [&](Day& d) { zone(d); }));
-        days.push_back(day("the leader killed", false, false, [&](Day& d) { leader(d); }));
-        days.push_back(day("a third of the routers started anew", false, false, [&](Day& d) { third(d); }));
-        days.push_back(day("a sixth of the routers cut off for 15 s", true, false, [&](Day& d) { cut(d); }));
+        const auto day = [&](const char* name, bool may_lapse, bool is_ordinary,
+                             const std::function<void(Day&)>& what) {
+            if (std::string(name).find(only) != std::string::npos)
+                days.push_back(play(name, may_lapse, is_ordinary, what));
+        };
+        day("the ordinary day's rate", false, true, [&](Day&) { restarts(1, Ms(30'000)); });
+        day("20 times that rate", false, false, [&](Day&) { restarts(20, Ms(30'000)); });
+        day("a zone gone and back", false, false, [&](Day& d) { zone(d); });
+        day("the leader killed", false, false, [&](Day& d) { leader(d); });
+        day("a third of the routers started anew", false, false, [&](Day& d) { third(d); });
+        day("a sixth of the routers cut off for 15 s", true, false, [&](Day& d) { cut(d); });
         return days;
     }
 
   private:
-    Day day(std::string name, bool may_lapse, bool is_ordinary, const std::function<void(Day&)>& what) {
+    Day play(std::string name, bool may_lapse, bool is_ordinary, const std::function<void(Day&)>& what) {
         Day d;
         d.name = std::move(name), d.may_lapse = may_lapse, d.is_ordinary = is_ordinary;
         const Sample before = sample(rig_);
@@ -287,11 +297,12 @@
                 if (n % hollow_zones == 3) rig_.discovery->set(n, a, started);
             rig_.discovery->tell();
         };
-        rig_.processes[3]->signal(SIGKILL);
+        for (std::size_t i = 3; i < rig_.plan.processes; i += hollow_zones)
+            rig_.processes[i]->signal(SIGKILL);
         all(Availability::gone, 0);
         rig_.run_for(Ms(20'000));
         all(Availability::ready, epoch_now());
-        rig_.start_hollow(3);
+        for (std::size_t i = 3; i < rig_.plan.processes; i += hollow_zones) rig_.start_hollow(i);
         d.back_s = back();
     }
 
@@ -300,7 +311,8 @@
         if (old == rig_.plan.stewards) return;
         const auto from = Clock::now();
         rig_.stewards[old]->signal(SIGKILL);
-        if (rig_.until([&] { return rig_.leader() < rig_.plan.stewards; }, Ms(30'000)))
+        if (rig_.until([&] { return rig_.leader() < rig_.plan.stewards && rig_.leader() != old; },
+                       Ms(30'000)))
             d.leaderless_s = seconds_since(from);
         rig_.run_for(Ms(15'000));
         d.back_s = back();
@@ -316,10 +328,11 @@
     }
 
     void cut(Day& d) {
-        for (const std::size_t i : {0, 1}) rig_.say(i, "cut");
+        const std::size_t some = rig_.plan.processes / 6;
+        for (std::size_t i = 0; i < some; ++i) rig_.say(i, "cut");
         d.drain = rig_.drain(next_++ % rig_.plan.seeded, Ms(40'000));
         rig_.run_for(Ms(5000));
-        for (const std::size_t i : {0, 1}) rig_.say(i, "heal");
+        for (std::size_t i = 0; i < some; ++i) rig_.say(i, "heal");
         d.back_s = back();
     }
 
@@ -444,13 +457,16 @@
         process.run();
         return 0;
     }
-    std::string json, only;
+    std::string json, only, day;
+    std::size_t processes = 12;
     bool with_days = true, quick = false;
     std::size_t witnesses = 6;
     for (std::size_t i = 0; i < words.size(); ++i) {
         if (words[i] == "--json" && i + 1 < words.size()) json = words[++i];
         if (words[i] == "--only" && i + 1 < words.size()) only = words[++i];
         if (words[i] == "--witnesses" && i + 1 < words.size()) witnesses = std::stoull(words[++i]);
+        if (words[i] == "--processes" && i + 1 < words.size()) processes = std::stoull(words[++i]);
+        if (words[i] == "--day" && i + 1 < words.size()) day = words[++i];
         if (words[i] == "--no-days") with_days = false;
         if (words[i] == "--quick") quick = true;
     }
@@ -476,10 +492,11 @@
         boost::asio::io_context io(1);
         HollowPlan plan = plan_of(routers, nodes);
         plan.witnesses = witnesses;
+        plan.processes = processes;
         HollowRig rig(io, std::move(plan));
         rungs.push_back(climb(rig, std::chrono::seconds(20), 3));
         const bool last = rungs.size() == ladder.size();
-        if (last && with_days && rungs.back().up) days = Days(rig).all();
+        if (last && with_days && rungs.back().up) days = Days(rig).all(day);
     }
     for (const Rung& r : rungs) {
         const std::string at = " at " + std::to_string(r.routers) + " x " + std::to_string(r.nodes);
