Agreement holds for nodes that only the list at the start names

Cause, by reading: Service gave the configuration's known list to the bridge alone, so AgreedList did not know those nodes, and a drain of one changed nothing while the member said that it acts on it, until discovery named the node. A steward watched from the known list's generation without taking that list. Change: Membership knows the list; a steward's watch begins at 0. Measured: a test with a steward's stand-in fails without the line (n0 stays ready) and passes with it.

--- a/src/service/membership.hpp
+++ b/src/service/membership.hpp
@@ -19,6 +19,8 @@
     void start() { watch_.start(); }
     void stop() { watch_.stop(); }
     void on_list(const TargetList& list) override;
+    // The list that the router starts with, which the host has already: agreement holds for its nodes too.
+    void know(const TargetList& list) { list_.discovered(list); }
 
     // To be called before each round: what the clock alone has changed goes before what the round decides.
     void look();
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -42,6 +42,7 @@
     start_log(launch_.operators.log);
     bridge_.connect(front_, links_);
     bridge_.take_list(launch_.known, ListKind::cached);
+    if (member_) member_->know(launch_.known);
     if (member_) member_->start();
     if (follower_) follower_->start();
     front_.listen(launch_.listen.host, launch_.listen.port);
--- a/src/steward/steward.cpp
+++ b/src/steward/steward.cpp
@@ -47,8 +47,7 @@
     const OneSteward& self = terms_.stewards.at(id);
     raft_.start();
     front_.listen(self.http_bind.host, self.http_bind.port);
-    TargetList known = launch.known;
-    watch_.start(known.generation);
+    watch_.start(0);  // its view begins with nothing, whatever the configuration knows
     signals_.async_wait([this](const boost::system::error_code& ec, int) {
         if (!ec) stop_began_ = time_.now();
     });
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -4,9 +4,11 @@
 #include <nlohmann/json.hpp>
 #include <random>
 
+#include "helpers.hpp"
 #include "members/agreed_list.hpp"
 #include "members/member_lease.hpp"
 #include "members/outcome_watch.hpp"
+#include "service/membership.hpp"
 #include "steward/node_view.hpp"
 #include "steward/requests.hpp"
 #include "steward/steward_terms.hpp"
@@ -41,6 +43,61 @@
 
 }  // namespace
 
+namespace {
+
+// A router without queries: keeps what reaches its module.
+class Host final : public MemberHost {
+  public:
+    std::map<std::string, Availability> nodes;
+
+    void on_list(const TargetList& list) override {
+        for (const ListedNode& n : list.nodes) nodes[n.id] = n.availability;
+    }
+    void watch_outcomes(OutcomeTaker*) override {}
+    void take_standing(StandingBy, const MemberStanding&) override {}
+    Nanos next_round() const override { return Deadlines::never; }
+    std::size_t held() const override { return 0; }
+    bool any_call_to(const std::function<bool(const std::string&)>&) const override { return false; }
+    const std::string& node_name(std::uint32_t) const override { return none_; }
+
+  private:
+    const std::string none_;
+};
+
+}  // namespace
+
+TEST_CASE("a node that only the list at the start names goes out by agreement too") {
+    boost::asio::io_context io(1);
+    Timekeeper time;
+    test::StandIn steward(io, [](test::Peer& peer) {
+        if (peer.got.find("\r\n\r\n") == std::string::npos || peer.got.back() != '}') return;
+        peer.got.clear();
+        const std::string body = write_member_answer({1, 10 * second, {{false, "n0"}}, false});
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    });
+    Launch launch = read_launch(
+        R"({"name":"r","listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"00ff","limits":{"sockets":256},)"
+        R"("settings":)" +
+        test::settings_text + "}");
+    launch.operators.member.on = true;
+    launch.operators.member.stewards = {*read_host_port(steward.address())};
+    Host host;
+    Membership member(io, time, launch, host);
+    const TargetList known{1, true, {listed("n0"), listed("n1")}, 0};
+    host.on_list(known);
+    member.know(known);
+    member.start();
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (member.acts_on() != 1 && std::chrono::steady_clock::now() < end) {
+        io.run_one_for(std::chrono::milliseconds(10));
+        time.due.tell(time.now());
+    }
+    CHECK(member.acts_on() == 1);
+    CHECK(host.nodes == Told{{"n0", Availability::draining}, {"n1", Availability::ready}});
+    member.stop();
+    io.poll();
+}
+
 TEST_CASE(
     "a lease counts from when the answered call was sent, and what is allowed after it is the operators'") {
     const bool stop = GENERATE(false, true);
