--- a/measure/capacity/tables.cpp
+++ b/measure/capacity/tables.cpp
@@ -492,6 +492,34 @@
     return rows.done();
 }
 
+// What real stewards took from hollow routers, beside what the size allows.
+Table hollow(const Model& m) {
+    Rows rows("hollow", {"of it", "at the size", "aim", "by"});
+    const auto lead_mb = m.at("steward_lead.mb_per_node", m.nodes) +
+                         m.at("steward_lead.mb_per_member", m.routers) -
+                         m.at("steward_lead.mb_per_member", 300);
+    const auto follow_mb = m.at("steward_follow.mb_per_node", m.nodes) +
+                           m.at("steward_follow.mb_per_member", m.routers) -
+                           m.at("steward_follow.mb_per_member", 300);
+    const double router_b = m.at("router.steward_in_per_member", m.routers) +
+                            m.at("router.steward_out_per_member", m.routers) +
+                            m.at("router.discovery_in_per_member", m.routers) +
+                            m.at("router.discovery_out_per_member", m.routers);
+    rows.row({"leader: core, nothing changes", core(m.at("steward_lead.cpu_per_member", m.routers) / 1e3),
+              core(m.of("leader_core")), "members"});
+    rows.row({"leader: memory of the process", mb(lead_mb), "-", "nodes, and members beyond 300"});
+    rows.row({"leader: descriptors", figure(m.at("steward_lead.descriptors_per_member", m.routers)), "20,000",
+              "members"});
+    rows.row({"leader: log", flow(m.at("steward_lead.log_per_member", m.routers)), "-", "members"});
+    rows.row({"follows: core", core(m.at("steward_follow.cpu_per_member", m.routers) / 1e3), "-", "members"});
+    rows.row({"follows: memory of the process", mb(follow_mb), "-", "nodes, and members beyond 300"});
+    rows.row({"a router: all watches, nothing changes", flow(router_b),
+              flow(m.of("control_kb_s") * 1e3 * m.of("ordinary")), "members"});
+    rows.row({"a router: core, hundreds sharing a loop", core(m.at("router.cpu_per_member", m.routers) / 1e3),
+              core(m.of("control_core") * m.of("ordinary")), "members"});
+    return rows.done();
+}
+
 Table rejected(const Model& m) {
     const Load& l = m.load;
     Rows rows("rejected", {"shape", "its figure", "why not"});
@@ -622,9 +650,9 @@
 
 std::vector<Table> tables(const Size& size, const Slopes& slopes) {
     const Model m(size, slopes);
-    return {size_table(m),    follows_table(m), needs(m),   router_data(m), router_control(m),
-            steward_leads(m), others(m),        relay(m),   machines(m),    rejected(m),
-            fan_out(m),       leaf_times(m),    knowing(m), slopes_table(m)};
+    return {size_table(m),    follows_table(m), needs(m),      router_data(m), router_control(m),
+            steward_leads(m), others(m),        hollow(m),     relay(m),       machines(m),
+            rejected(m),      fan_out(m),       leaf_times(m), knowing(m),     slopes_table(m)};
 }
 
 }  // namespace tealcart::capacity
