--- a/review/standins.py
+++ b/review/standins.py
@@ -3,7 +3,7 @@
 They follow PROTOCOL.md. Everything runs in one asyncio loop; the router is a process of its own that is
 started with the command of deploy/balancer.toml. Standard library only.
 """
-import asyncio, json, os, signal, socket, sys, tempfile, time, shutil, re
+import asyncio, json, os, random, re, shutil, signal, socket, sys, tempfile, time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
@@ -18,12 +18,23 @@
     raise SystemExit(2)
 
 
+given_ports = set()
+
+
 def free_port(host="127.0.0.1"):
-    s = socket.socket()
-    s.bind((host, 0))
-    port = s.getsockname()[1]
-    s.close()
-    return port
+    """A free port below the range that outgoing connections take theirs from; none is given twice."""
+    for _ in range(1000):
+        port = random.randrange(15000, 30000)
+        if port in given_ports:
+            continue
+        with socket.socket() as s:
+            try:
+                s.bind((host, port))
+            except OSError:
+                continue
+        given_ports.add(port)
+        return port
+    raise RuntimeError("no free port")
 
 
 class Record:
@@ -298,6 +309,10 @@
     record = Record(os.path.join(folder, "record.txt"))
     tmp = tempfile.mkdtemp(prefix="review.")
     routers = []
+
+    def ended(*_):  # SIGTERM ends the processes that were started, too
+        raise KeyboardInterrupt
+    signal.signal(signal.SIGTERM, ended)
     try:
         async def guarded():
             try:
