Tests: random numbers as arguments are drawn into named values

Cause: SimulatedFleet drew two random numbers as arguments of one call; the order of evaluation is unspecified, g++ takes the last first on x86-64 and the first first on arm64. Change: both are drawn into named values, the last argument first, so that the recorded digests hold as they are. The same mistake stood in three further tests (members, changes, query dispatcher) and in measure/herd.cpp; found by a search for calls with two draws.

--- a/measure/herd.cpp
+++ b/measure/herd.cpp
@@ -153,8 +153,11 @@
             query_classes[0].traffic_share, query_classes[1].traffic_share, query_classes[2].traffic_share};
         std::discrete_distribution<int> choose_class(traffic_shares.begin(), traffic_shares.end());
         for (Nanos arrival = 0; (arrival += static_cast<Nanos>(-std::log(1 - random_fraction()) * second /
-                                                               queries_per_second)) < simulation_length;)
-            schedule_query(arrival, choose_class(random_), choose_router(random_));
+                                                               queries_per_second)) < simulation_length;) {
+            const int router = choose_router(random_);
+            const int query_class = choose_class(random_);
+            schedule_query(arrival, query_class, router);
+        }
         // A release restarts a quarter of the nodes in two batches. Each node returns cold at the same place.
         for (int i = 0; i < places / 4; ++i) {
             const auto node = static_cast<std::uint32_t>(i * 4);
--- a/tests/changes_test.cpp
+++ b/tests/changes_test.cpp
@@ -446,8 +446,9 @@
             const std::uint64_t from =
                 random_below(2) == 0 ? copy.version() : random_below(changes.state.version() + 1);
             if (const auto delta = changes.state.since(from)) deltas.push_back(*delta);
-            pages.push_back(
-                changes.state.page(random_below(3) == 0 ? "" : copy.next_page_after(), 1 + random_below(60)));
+            const auto page_size = 1 + random_below(60);
+            const std::string page_after = random_below(3) == 0 ? "" : copy.next_page_after();
+            pages.push_back(changes.state.page(page_after, page_size));
             const std::uint64_t previous_version = copy.version();
             DocumentCopy::ApplyResult result;
             if (random_below(2) == 0 && !deltas.empty()) {
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -374,8 +374,9 @@
         if (random_below(3) > 0) {
             EndpointList list{static_cast<std::uint64_t>(i), random_below(100) == 0, {}, 0};
             const std::string name = name_of(random_below(30));
-            ListedEndpoint endpoint =
-                listed_node(name, static_cast<Lifecycle>(random_below(3)), std::uint32_t(random_below(5)));
+            const auto place = std::uint32_t(random_below(5));
+            const auto lifecycle = static_cast<Lifecycle>(random_below(3));
+            ListedEndpoint endpoint = listed_node(name, lifecycle, place);
             endpoint.started_at = random_below(2) == 0 ? now - random_below(12) * second : 0;
             if (list.full) {
                 std::erase_if(listed_nodes, [&](const auto&) { return random_below(4) == 0; });
--- a/tests/query_dispatcher_test.cpp
+++ b/tests/query_dispatcher_test.cpp
@@ -220,9 +220,11 @@
     FakeEndpoints& model = rig.model;
     const auto random_below = [&](std::size_t n) { return static_cast<std::size_t>(random() % n); };
     for (int i = 0; i < 1200; ++i) {
-        if (random_below(8) == 0)
-            rig.send_query(random_below(2) == 0, static_cast<std::uint32_t>(1 + random_below(4)),
-                           static_cast<int>(40 + random_below(900)));
+        if (random_below(8) == 0) {
+            const auto deadline_ms = static_cast<int>(40 + random_below(900));
+            const auto shard_count = static_cast<std::uint32_t>(1 + random_below(4));
+            rig.send_query(random_below(2) == 0, shard_count, deadline_ms);
+        }
         if (random_below(60) == 0)
             rig.disconnect(static_cast<std::uint32_t>(1 + random_below(rig.clients + 1)));
         if (random_below(100) == 0) {
--- a/tests/simulated_fleet.cpp
+++ b/tests/simulated_fleet.cpp
@@ -404,9 +404,11 @@
     digest_.add(static_cast<std::uint64_t>(retry_after));
     ++counts_.rejections;
     queries_.erase(query);
-    if (random_.one_in(2))
-        retries_due_.emplace_back(now_ + retry_after + random_.below(100) * millisecond,
-                                  200 + random_.below(1000));
+    if (!random_.one_in(2)) return;
+    // Named, since the order in which arguments are evaluated is unspecified.
+    const auto time_to_live_ms = 200 + random_.below(1000);
+    const Nanos delay = random_.below(100) * millisecond;
+    retries_due_.emplace_back(now_ + retry_after + delay, time_to_live_ms);
 }
 
 void SimulatedFleet::fail_query(std::uint32_t query) {
