HTTP server: a connection is read once and serves one request in each turn of the loop

What callers saw: answers late by seconds, or never, while one to hundreds of clients sent large or unsound requests at full speed. Cause: a turn ran up to 4,096 handlers before timers and rounds. A connection's next read and next request went on in the same turn, so one client's 64 KB bodies (11 ms each to parse, where nested) held up everybody else for seconds. Change: connections wait for readability instead of reading into a buffer of their own, and are read once a turn, at most 64 KB; complete requests queue (RequestQueue): of small ones 64 KB a turn in order of arrival, of large ones 64 KB a turn of their own, smallest first; what is left goes on by timers that are due at once, behind handlers and due timers. A request whose time ends in the queue gets 504. A client's end is looked for before its request is begun. At most 32 clients are accepted in a turn. Buffers of requests are freed once the request is handed on. The rig of the HTTP tests now runs due timers after handlers, as the event loops do; its checks are unchanged.

--- a/src/fleet_manager/fleet_manager.cpp
+++ b/src/fleet_manager/fleet_manager.cpp
@@ -26,8 +26,8 @@
                            const StartupConfig& startup, Nanos clock_error)
     : signals_(io, SIGTERM, SIGINT), config_(config), id_(id), event_loop_(io, time_),
       endpoints_(startup.config), state_(config_, endpoints_),
-      server_(io, time_, *this, max_clients, client_stall,
-              config.takes_changes ? max_change_body : max_body_bytes),
+      server_(io, time_, *this,
+              {max_clients, client_stall, config.takes_changes ? max_change_body : max_body_bytes}),
       discovery_(io, time_, *this, startup.discovery, startup.config.discovery,
                  static_cast<std::uint32_t>(startup.config.places), startup.seed,
                  startup.endpoint_list_limit),
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -38,7 +38,7 @@
     : signals_(io, SIGTERM, SIGINT), config_(config), event_loop_(io, time_), incarnation_(start_time()),
       reports_(config.name, config.zone, incarnation_, config.max_followers, max_exceptions),
       documents_(config.page_bytes, config.pages_a_second, time_.now()),
-      server_(io, time_, *this, config.max_followers + spare_clients, client_stall),
+      server_(io, time_, *this, {config.max_followers + spare_clients, client_stall}),
       followers_(time_, server_, reports_, documents_, [this] { schedule_report(); }),
       managers_(io, time_, *this, relay_path, "steward", config.managers, 0, seed) {
     server_.listen(config_.bind.host, config_.bind.port);
--- a/src/service/query_dispatcher.hpp
+++ b/src/service/query_dispatcher.hpp
@@ -36,6 +36,7 @@
     // RequestHandler
     void on_request(Handle client, Request& request, Nanos began) override;
     void on_client_disconnected(Handle client) override;
+    Nanos time_to_live(const Request& request) const override { return parser_.time_to_live(request); }
     // ConnectionObserver
     bool on_node_answer(Handle connection, const NodeAnswer& answer) override;
     bool on_phase_answer(Handle connection, const PhaseAnswer& answer) override;
--- a/src/service/request_parser.cpp
+++ b/src/service/request_parser.cpp
@@ -54,6 +54,11 @@
     return static_cast<std::size_t>(found - query_classes_.begin());
 }
 
+Nanos RequestParser::time_to_live(const Request& request) const {
+    if (find_query_class(request.path) == query_classes_.size()) return 0;
+    return read_deadline(request.deadline).value_or(0);
+}
+
 std::variant<QueryRequest, Response> RequestParser::parse_query(const Request& request,
                                                                 std::uint16_t query_class,
                                                                 bool two_phase) const {
--- a/src/service/request_parser.hpp
+++ b/src/service/request_parser.hpp
@@ -34,6 +34,8 @@
         return parse_query(request, static_cast<std::uint16_t>(query_class), two_phase(query_class));
     }
 
+    // Returns the time that the request states; 0 if it states none, or is not sent to a query class.
+    Nanos time_to_live(const Request& request) const;
     bool needs_key(std::uint16_t query_class) const { return needs_key_[query_class]; }
 
     static Response error(int status, std::string_view message);
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -26,8 +26,11 @@
 std::size_t max_node_connections(const StartupConfig& startup) {
     return (startup.max_descriptors - reserved_descriptors) / data_node_share;
 }
-std::size_t max_client_connections(const StartupConfig& startup) {
-    return startup.max_descriptors - reserved_descriptors - max_node_connections(startup);
+HttpServerLimits http_limits(const StartupConfig& startup) {
+    HttpServerLimits limits;
+    limits.connections = startup.max_descriptors - reserved_descriptors - max_node_connections(startup);
+    limits.write_timeout = startup.connection_config.max_wait;
+    return limits;
 }
 
 std::unique_ptr<Membership> make_membership(boost::asio::io_context& io, EventClock& clock,
@@ -47,8 +50,7 @@
 Service::Service(boost::asio::io_context& io, std::function<StartupConfig()> read_config)
     : io_(io), signals_(io_, SIGTERM, SIGINT, SIGHUP), read_config_(std::move(read_config)),
       startup_(read_config_()), dispatcher_(clock_, startup_),
-      server_(io_, clock_, dispatcher_, max_client_connections(startup_),
-              startup_.connection_config.max_wait),
+      server_(io_, clock_, dispatcher_, http_limits(startup_)),
       connections_(io_, clock_, startup_.connection_config, dispatcher_, max_node_connections(startup_)),
       membership_(make_membership(io_, clock_, startup_, dispatcher_)),
       follower_(make_follower(io_, clock_, startup_, dispatcher_)),
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -1,5 +1,6 @@
 #include "wire/http.hpp"
 
+#include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/status.hpp>
 #include <charconv>
@@ -71,6 +72,7 @@
     void on_header_impl(error_code&) override {}
     void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
     std::size_t on_body_impl(string_view part, error_code&) override {
+        reserve_for(part.size());
         body.append(part.data(), part.size());
         return part.size();
     }
@@ -82,6 +84,15 @@
     void on_finish_impl(error_code&) override {}
 
   private:
+    // Grows the body by doubling, but not beyond its stated length.
+    void reserve_for(std::size_t bytes) {
+        const std::size_t needed = body.size() + bytes;
+        if (needed <= body.capacity()) return;
+        const std::size_t wanted = std::max(needed, 2 * body.capacity());
+        const bool is_stated = stated_length >= needed;
+        body.reserve(is_stated ? std::min<std::size_t>(wanted, stated_length) : wanted);
+    }
+
     bool has_coding_ = false, has_length_ = false;  // a header stated the body's coding or length
 };
 
@@ -150,6 +161,9 @@
 }
 
 bool RequestReader::begun() const { return parser_->begun; }
+std::size_t RequestReader::buffered_bytes() const {
+    return parser_->body.capacity() + parser_->request.body.capacity();
+}
 Request& RequestReader::request() { return parser_->request; }
 void RequestReader::next() { parser_ = std::make_unique<Parser>(max_size_); }
 
--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -46,8 +46,10 @@
     bool expects_continue();
     // Returns whether any byte of the current request has been parsed.
     bool begun() const;
+    // Returns the size of the memory that the request's body takes.
+    std::size_t buffered_bytes() const;
     Request& request();
-    // Starts the next request, after a complete one.
+    // Starts the next request and frees the buffers of the current one.
     void next();
 
   private:
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "log/log.hpp"
+#include "wire/connection_eviction.hpp"
 
 namespace tealcart {
 namespace {
@@ -20,8 +21,14 @@
 constexpr Nanos request_timeout = 2750 * millisecond;
 constexpr Nanos linger_timeout = 1000 * millisecond;     // for the client to read its last response
 constexpr Nanos accept_retry_pause = 100 * millisecond;  // after a failed accept
+constexpr Nanos memory_retry_pause = 5 * millisecond;    // before a connection without memory is read again
+constexpr Nanos min_queue_time = millisecond;            // for a request whose time was over when it was read
 // Bytes of further requests while one is in progress.
 constexpr std::size_t max_unread = max_head_bytes + max_body_bytes;
+// Work in one turn of the event loop.
+constexpr std::size_t max_received_per_turn = 64UL * 1024;  // by one connection
+constexpr int max_accepts_per_turn = 32;
+constexpr int bad_request_timeout = 408, gateway_timeout = 504;
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 boost::asio::const_buffer buffer_of(std::string_view text) { return {text.data(), text.size()}; }
@@ -29,9 +36,9 @@
 }  // namespace
 
 HttpServer::HttpServer(boost::asio::io_context& io, EventClock& clock, RequestHandler& handler,
-                       std::size_t max_connections, Nanos write_timeout, std::size_t max_request_body)
-    : io_(io), clock_(clock), handler_(handler), max_connections_(max_connections),
-      write_timeout_(write_timeout), max_request_body_(max_request_body), acceptor_(io) {}
+                       const HttpServerLimits& limits)
+    : io_(io), clock_(clock), handler_(handler), limits_(limits), acceptor_(io),
+      memory_(limits.buffer_bytes) {}
 
 void HttpServer::listen(const std::string& host, std::uint16_t port) {
     const tcp::endpoint endpoint(boost::asio::ip::make_address(host), port);
@@ -56,58 +63,50 @@
 // If the connection limit is reached and no connection can be evicted, clients wait in the backlog until one
 // is released.
 void HttpServer::on_acceptable() {
-    if (connections_.size() >= max_connections_ && !evict_one()) return retry_accept_later();
-    tcp::socket socket(io_);
-    error_code failure;
-    acceptor_.accept(socket, failure);
-    if (!failure) {
+    for (int accepted = 0; accepted < max_accepts_per_turn; ++accepted) {
+        const bool is_full = connections_.size() >= limits_.connections;
+        const Handle evicted = is_full ? choose_for_room(connections_) : Handle{};
+        if (is_full && connections_.find(evicted) == nullptr) return accept_later(accept_retry_pause);
+        tcp::socket socket(io_);
+        error_code failure;
+        acceptor_.accept(socket, failure);
+        if (failure == boost::asio::error::would_block) return accept();
+        if (failure && failure != boost::asio::error::connection_aborted) {
+            log_line("failed to accept a client connection: %s", failure.message().c_str());
+            evict_one();
+            return accept_later(accept_retry_pause);
+        }
+        if (failure) continue;
+        if (is_full) {
+            ++counters_.evicted;
+            close(evicted);
+        }
         add_connection(std::move(socket));
-    } else if (failure != boost::asio::error::connection_aborted &&
-               failure != boost::asio::error::would_block) {
-        log_line("failed to accept a client connection: %s", failure.message().c_str());
-        evict_one();
-        return retry_accept_later();
     }
-    accept();
+    accept_later(0);
 }
 
-void HttpServer::retry_accept_later() {
-    clock_.timers.reschedule(accept_timer_, clock_.now() + accept_retry_pause, *this, Handle{});
+void HttpServer::accept_later(Nanos pause) {
+    clock_.timers.reschedule(accept_timer_, clock_.now() + pause, *this, {}, Timer::accept_timer);
 }
 
 void HttpServer::add_connection(tcp::socket socket) {
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    socket.non_blocking(true, ignored);  // needed for the last reads before it is closed
-    const Handle handle = connections_.emplace(std::move(socket), max_request_body_);
+    socket.non_blocking(true, ignored);
+    const Handle handle = connections_.emplace(std::move(socket), limits_.request_body, memory_);
     connections_.find(handle)->idle_since = clock_.earliest_arrival();  // it may have waited in the backlog
+    ++counters_.accepted;
     await_request(handle);
-    read(handle);
+    await_bytes(handle);
 }
 
-// Closes the least valuable connection to make room for a waiting client: first lingering connections, then
-// idle ones, then those with an incomplete request, and the oldest of each kind first. A connection with
-// unread bytes is kept. Guards against clients that open hundreds of connections and send little or nothing:
-// other clients then need not wait for the timeouts of these connections.
+// Guards against clients that open hundreds of connections and send little or nothing: other clients then
+// need not wait for the timeouts of these connections.
 bool HttpServer::evict_one() {
-    enum Rank : std::uint8_t { lingering, idle, in_request, never };
-    using Candidate = std::pair<Rank, Nanos>;
-    Handle chosen;
-    Candidate least(never, TimerQueue::never);
-    connections_.for_each([&](Handle handle, const Connection& connection) {
-        Candidate candidate(never, TimerQueue::never);
-        if (connection.state == State::lingering)
-            candidate = {lingering, connection.idle_since};
-        else if (connection.state == State::reading)
-            candidate = connection.reader.begun() ? Candidate(in_request, connection.request_began)
-                                                  : Candidate(idle, connection.idle_since);
-        if (candidate >= least) return;
-        error_code ignored;
-        if (candidate.first != lingering && connection.socket.available(ignored) > 0) return;
-        chosen = handle;
-        least = candidate;
-    });
+    const Handle chosen = choose_for_room(connections_);
     if (connections_.find(chosen) == nullptr) return false;
+    ++counters_.evicted;
     close(chosen);
     return true;
 }
@@ -122,75 +121,135 @@
 // Returns whether no byte of a next request has arrived.
 bool HttpServer::is_idle(const Connection& connection) const {
     error_code ignored;
-    return connection.state == State::reading && !connection.reader.begun() &&
+    return connection.state == State::reading && !connection.reader.begun() && connection.unread.empty() &&
            connection.socket.available(ignored) == 0;
 }
 
-// Reads in every state, so that the server notices when a client disconnects.
-void HttpServer::read(Handle handle) {
+// Waits in every state, so that the server notices when a client disconnects.
+void HttpServer::await_bytes(Handle handle) {
     Connection& connection = *connections_.find(handle);
-    if (connection.read_pending || connection.peer_ended || connection.state == State::closed) return;
-    connection.read_pending = true;
-    connection.socket.async_read_some(
-        boost::asio::buffer(connection.buffer),
-        [this, handle](const error_code& failure, std::size_t size) { on_received(handle, failure, size); });
+    if (connection.wait_pending || connection.peer_ended || connection.state == State::closed) return;
+    connection.wait_pending = true;
+    connection.socket.async_wait(tcp::socket::wait_read,
+                                 [this, handle](const error_code&) { on_readable(handle); });
 }
 
-void HttpServer::on_received(Handle handle, const error_code& failure, std::size_t size) {
+void HttpServer::on_readable(Handle handle) {
     Connection& connection = *connections_.find(handle);
-    if (connection.state == State::closed) {
-        connection.read_pending = false;
-        return release_if_ended(handle);
-    }
-    connection.peer_ended = static_cast<bool>(failure);
-    if (!failure && connection.unread.empty() && connection.state != State::reading)
-        connection.next_request_began = clock_.now();
-    keep_received(handle, connection, failure ? 0 : size);
-    if (connection.state == State::reading) parse(handle);
-    if (failure && connection.state == State::waiting) handler_.on_client_disconnected(handle);
-    if (failure && connection.state != State::writing) close(handle);
+    if (connection.state != State::closed) process_received(handle);
     // Cleared only now, so that the connection is not released while it is in use.
-    connection.read_pending = false;
-    if (connection.state == State::closed) return release_if_ended(handle);
-    read(handle);
+    connection.wait_pending = false;
+    if (connection.state == State::closed) release_if_ended(handle);
+}
+
+// Every connection goes on in the next turn, after the handlers that are ready and the timers that are due.
+void HttpServer::continue_in_next_turn(Handle handle, Nanos pause) {
+    Connection& connection = *connections_.find(handle);
+    clock_.timers.reschedule(connection.turn_timer, clock_.now() + pause, *this, handle, Timer::turn_timer);
+}
+
+void HttpServer::on_turn(Handle handle) {
+    Connection& connection = *connections_.find(handle);
+    if (connection.state == State::reading && !connection.unread.empty()) {
+        const bool was_pending = std::exchange(connection.wait_pending, true);  // not released while in use
+        process_received(handle);
+        connection.wait_pending = was_pending;
+        if (connection.state == State::closed) return release_if_ended(handle);
+    }
+    await_bytes(handle);
+}
+
+// Reads before the next request is served, so that a client's disconnect behind it is noticed.
+void HttpServer::process_received(Handle handle) {
+    Connection& connection = *connections_.find(handle);
+    if (connection.state == State::reading && !connection.unread.empty()) parse(handle, connection);
+    const bool has_memory = receive(handle, connection);
+    if (connection.state == State::closed) return;
+    connection.update_charge();
+    if (!connection.peer_ended) return continue_in_next_turn(handle, has_memory ? 0 : memory_retry_pause);
+    // A client that has closed its side has left, and its query is not begun.
+    const bool is_query = !connection.malformed && handler_.time_to_live(connection.reader.request()) > 0;
+    if (connection.state == State::queued && !is_query) {
+        queue_.remove(handle);
+        serve(handle);
+    }
+    if (connection.state == State::waiting) handler_.on_client_disconnected(handle);
+    if (connection.state != State::writing) close(handle);
+}
+
+// Reads what has arrived, up to the limit of a turn. Returns false if there is no memory for more.
+bool HttpServer::receive(Handle handle, Connection& connection) {
+    const bool had_request = connection.has_request();
+    for (std::size_t left = max_received_per_turn; left > 0 && connection.state != State::closed;) {
+        // What stands behind a request that is about to be served waits in the socket.
+        const bool is_new = connection.has_request() && !had_request;
+        if (is_new && connection.unread.size() + received_.size() > max_unread) return true;
+        const std::size_t receivable_bytes = std::min(left, receivable(handle, connection));
+        if (receivable_bytes == 0) return false;
+        error_code failure;
+        const std::size_t size =
+            connection.socket.read_some(boost::asio::buffer(received_.data(), receivable_bytes), failure);
+        if (failure == boost::asio::error::would_block || failure == boost::asio::error::interrupted)
+            return true;
+        connection.peer_ended = static_cast<bool>(failure);
+        if (failure) return true;
+        left -= size;
+        keep_received(handle, connection, size);
+        if (connection.state == State::reading) parse(handle, connection);
+    }
+    return true;
+}
+
+// Returns how many bytes may be read at once. Beyond an ordinary request, an incomplete one needs memory of
+// the budget; without it, its bytes wait in the socket.
+std::size_t HttpServer::receivable(Handle handle, const Connection& connection) {
+    if (connection.state != State::reading) return received_.size();
+    if (connection.held_bytes() < Connection::uncharged_bytes) return Connection::uncharged_bytes;
+    return make_room(handle, received_.size()) ? received_.size() : 0;
 }
 
 // Keeps the bytes of this request and, up to a limit, of further ones. Bytes over the limit are discarded,
 // and the pending response becomes the last one. Guards against working for a client that sent much at once
 // and then disconnected: its disconnect is only seen after all bytes have been read.
 void HttpServer::keep_received(Handle handle, Connection& connection, std::size_t size) {
-    const bool in_progress = connection.state == State::waiting || connection.state == State::writing;
-    if (in_progress && connection.unread.size() + size > max_unread)
-        connection.is_last = true;
-    else if (connection.state != State::lingering)
-        connection.unread.append(connection.buffer.data(), size);
-    if (connection.state != State::lingering) return;
-    // Guards against reading an endless stream of unwanted bytes.
-    connection.discarded += size;
-    if (connection.discarded > max_unread) close(handle);
-}
-
-void HttpServer::parse(Handle handle) {
-    Connection& connection = *connections_.find(handle);
+    if (connection.state == State::lingering) {
+        // Guards against reading an endless stream of unwanted bytes.
+        connection.discarded += size;
+        if (connection.discarded > max_unread) close(handle);
+        return;
+    }
+    if (connection.state != State::reading) {
+        if (connection.is_last) return;
+        if (connection.unread.empty()) connection.next_request_began = clock_.now();
+        if (connection.unread.size() + size > max_unread || !make_room(handle, size)) {
+            ++counters_.read_ahead_dropped;
+            connection.is_last = true;
+            connection.unread = {};
+            return;
+        }
+    }
+    connection.progress_at = clock_.now();
+    connection.unread.append(received_.data(), size);
+    connection.update_charge();
+}
+
+void HttpServer::parse(Handle handle, Connection& connection) {
     const bool had_begun = connection.reader.begun();
     const ParseStatus status = connection.reader.feed(connection.unread);
     if (!had_begun && connection.reader.begun()) note_request_began(handle, connection);
-    if (connection.unread.empty()) connection.next_request_began = 0;
-    if (status == ParseStatus::incomplete) {
-        if (connection.reader.expects_continue() && !connection.write_pending) {
-            connection.writes_continue = true;
-            write(handle);
-        }
-        return;
+    if (connection.unread.empty()) {
+        connection.next_request_began = 0;
+        connection.unread = {};
     }
-    clock_.timers.cancel(connection.timer);
-    connection.state = State::waiting;
-    if (status == ParseStatus::malformed) {
-        connection.is_last = true;
-        return answer(handle, {connection.reader.error_status(), {}, 0});
+    connection.update_charge();
+    if (status != ParseStatus::incomplete) {
+        connection.malformed = status == ParseStatus::malformed;
+        return queue_request(handle, connection);
+    }
+    if (connection.reader.expects_continue() && !connection.write_pending) {
+        connection.writes_continue = true;
+        write(handle);
     }
-    connection.is_last = !connection.reader.request().keep_alive;
-    handler_.on_request(handle, connection.reader.request(), connection.request_began);
 }
 
 void HttpServer::note_request_began(Handle handle, Connection& connection) {
@@ -202,6 +261,68 @@
     clock_.timers.reschedule(connection.timer, counts_from + request_timeout, *this, handle);
 }
 
+void HttpServer::queue_request(Handle handle, Connection& connection) {
+    const Request& request = connection.reader.request();
+    const bool malformed = connection.malformed;
+    const Nanos now = clock_.now();
+    connection.state = State::queued;
+    connection.is_last = malformed || !request.keep_alive;
+    queue_.push(handle, malformed ? 0 : request.body.size());
+    if (const Nanos time_to_live = malformed ? 0 : handler_.time_to_live(request); time_to_live > 0) {
+        const Nanos expires_at = std::max(connection.request_began + time_to_live, now + min_queue_time);
+        clock_.timers.reschedule(connection.timer, expires_at, *this, handle);
+    }
+    if (queue_timer_ == TimerQueue::none)
+        queue_timer_ = clock_.timers.add(now, *this, {}, Timer::queue_timer);
+}
+
+void HttpServer::serve_queued() {
+    for (const Handle handle : queue_.take_turn()) serve(handle);
+    if (!queue_.empty()) queue_timer_ = clock_.timers.add(clock_.now(), *this, {}, Timer::queue_timer);
+}
+
+void HttpServer::serve(Handle handle) {
+    Connection& connection = *connections_.find(handle);
+    clock_.timers.cancel(connection.timer);
+    connection.state = State::waiting;
+    if (connection.malformed) {
+        ++counters_.malformed;
+        return reject(handle, connection.reader.error_status());
+    }
+    handler_.on_request(handle, connection.reader.request(), connection.request_began);
+    connection.reader.next();
+    connection.update_charge();
+}
+
+// Makes sure that this many bytes fit into the budget, at the expense of clients that make no progress.
+// Returns false if there is no such client.
+bool HttpServer::make_room(Handle handle, std::size_t bytes) {
+    while (!memory_.fits(bytes)) {
+        const Handle chosen = choose_for_memory(connections_, handle, clock_.now());
+        if (connections_.find(chosen) == nullptr) return false;
+        drop_for_memory(chosen);
+    }
+    return true;
+}
+
+void HttpServer::drop_for_memory(Handle handle) {
+    const bool reads = connections_.find(handle)->state == State::reading;
+    ++(reads ? counters_.incomplete_dropped : counters_.unread_dropped);
+    if (reads)
+        reject(handle, bad_request_timeout);
+    else
+        close(handle);
+}
+
+// Answers a request that is not passed on, and ends the connection.
+void HttpServer::reject(Handle handle, int status) {
+    Connection& connection = *connections_.find(handle);
+    connection.state = State::waiting;
+    connection.is_last = true;
+    connection.drop_requests();
+    answer(handle, {status, {}, 0});
+}
+
 void HttpServer::answer(Handle handle, Response answer) {
     Connection* connection = connections_.find(handle);
     if (connection == nullptr || connection->state != State::waiting) return;
@@ -211,8 +332,11 @@
     connection->head =
         write_response_head({answer.status, connection->body.size(), answer.retry_after / millisecond,
                              connection->is_last, answer.allow});
-    clock_.timers.reschedule(connection->timer, clock_.now() + write_timeout_, *this, handle);
+    connection->progress_at = clock_.now();
+    connection->update_charge();
+    clock_.timers.reschedule(connection->timer, clock_.now() + limits_.write_timeout, *this, handle);
     write(handle);
+    if (connection->charge.bytes() > 0) make_room(handle, 0);
 }
 
 void HttpServer::write(Handle handle) {
@@ -244,19 +368,17 @@
 void HttpServer::on_response_written(Handle handle) {
     Connection& connection = *connections_.find(handle);
     clock_.timers.cancel(connection.timer);
-    connection.head.clear();
-    connection.body.clear();
+    connection.head = {};
+    connection.body = {};
+    connection.update_charge();
     if (connection.peer_ended) return close(handle);
     if (connection.is_last) return half_close(handle);
     connection.state = State::reading;
     connection.served = true;
-    connection.reader.next();
     connection.idle_since = clock_.now();
     await_request(handle);
-    if (!connection.unread.empty()) parse(handle);
-    read(handle);
-    if (connection.state == State::reading)
-        accept();  // an idle connection can be evicted for a waiting client
+    continue_in_next_turn(handle);
+    accept();  // an idle connection can be evicted for a waiting client
 }
 
 // Performs a lingering close: shuts down the sending side now, and closes the connection once the client has
@@ -269,27 +391,47 @@
     connection.socket.shutdown(tcp::socket::shutdown_send, failure);
     if (failure) return close(handle);
     connection.state = State::lingering;
-    connection.unread.clear();
+    connection.drop_requests();
+    connection.update_charge();
     clock_.timers.reschedule(connection.timer, clock_.now() + linger_timeout, *this, handle);
-    read(handle);
+    await_bytes(handle);
 }
 
-void HttpServer::on_timer_due(Handle handle, std::uint64_t) {
-    if (handle == Handle{}) {
-        accept_timer_ = TimerQueue::none;
-        return accept();
+void HttpServer::on_timer_due(Handle handle, std::uint64_t what) {
+    switch (static_cast<Timer>(what)) {
+        case Timer::accept_timer:
+            accept_timer_ = TimerQueue::none;
+            return accept();
+        case Timer::queue_timer:
+            queue_timer_ = TimerQueue::none;
+            return serve_queued();
+        case Timer::turn_timer:
+            connections_.find(handle)->turn_timer = TimerQueue::none;
+            return on_turn(handle);
+        case Timer::timeout_timer:
+            connections_.find(handle)->timer = TimerQueue::none;
+            return on_timeout(handle);
     }
+}
+
+void HttpServer::on_timeout(Handle handle) {
     Connection& connection = *connections_.find(handle);
-    connection.timer = TimerQueue::none;
-    if (connection.state != State::reading) return close(handle);
-    if (!connection.reader.begun()) {
+    if (connection.state == State::queued) {
+        ++counters_.expired;
+        queue_.remove(handle);
+        return reject(handle, gateway_timeout);
+    }
+    if (connection.state == State::reading && connection.reader.begun()) {
+        ++counters_.incomplete;
+        return reject(handle, bad_request_timeout);
+    }
+    if (connection.state == State::reading) {
         if (is_idle(connection))
             half_close(handle);  // otherwise a request is about to be read, which sets a timer
         return;
     }
-    connection.state = State::waiting;  // the request was not complete in time
-    connection.is_last = true;
-    answer(handle, {408, {}, 0});
+    counters_.unread += connection.state == State::writing;
+    close(handle);
 }
 
 void HttpServer::begin_stop() {
@@ -324,14 +466,18 @@
 void HttpServer::close(Handle handle) {
     Connection* connection = connections_.find(handle);
     if (connection == nullptr || connection->state == State::closed) return;
+    if (connection->state == State::queued) queue_.remove(handle);
     connection->state = State::closed;
     clock_.timers.cancel(connection->timer);
+    clock_.timers.cancel(connection->turn_timer);
+    connection->drop_requests();
+    connection->charge.resize(0);
     error_code failure;
     connection->socket.shutdown(tcp::socket::shutdown_send, failure);
+    std::array<char, 16384> dropped;
     for (std::size_t left = max_unread;
          !failure && left > 0;)  // closing with unread bytes would send a reset
-        left -=
-            std::min(left, connection->socket.read_some(boost::asio::buffer(connection->buffer), failure));
+        left -= std::min(left, connection->socket.read_some(boost::asio::buffer(dropped), failure));
     connection->socket.close(failure);
     release_if_ended(handle);
 }
@@ -339,7 +485,7 @@
 void HttpServer::release_if_ended(Handle handle) {
     const Connection* connection = connections_.find(handle);
     if (connection == nullptr || connection->state != State::closed) return;
-    if (connection->read_pending || connection->write_pending) return;
+    if (connection->wait_pending || connection->write_pending) return;
     connections_.release(handle);
     accept();
 }
--- a/src/wire/http_server.hpp
+++ b/src/wire/http_server.hpp
@@ -9,6 +9,8 @@
 #include "tables/event_clock.hpp"
 #include "tables/slot_map.hpp"
 #include "wire/http.hpp"
+#include "wire/http_connection.hpp"
+#include "wire/request_queue.hpp"
 
 namespace tealcart {
 
@@ -29,6 +31,10 @@
     virtual void on_request(Handle client, Request& request, Nanos began) = 0;
     // The client of an unanswered request has closed its side of the connection.
     virtual void on_client_disconnected(Handle client) = 0;
+    // Returns how long the client of this request waits, counted from the request's first byte; 0 if that is
+    // not known. A request that is not passed on within this time, because many others are ahead of it, gets
+    // status 504.
+    virtual Nanos time_to_live(const Request&) const { return 0; }
 };
 
 // Accepts the responses to requests.
@@ -39,15 +45,42 @@
     virtual void answer(Handle client, Response answer) = 0;
 };
 
-// Owns the connections. `release_if_ended` releases a connection once it is closed and no read or write is in
+// The limits of an HttpServer.
+struct HttpServerLimits {
+    std::size_t connections = 0;  // at a time
+    Nanos write_timeout = 0;      // a client that does not read its response within this time is disconnected
+    std::size_t request_body = max_body_bytes;
+    // Sum of what all connections hold of requests and responses, but for the first 2 KiB of each. Beyond it
+    // the clients that have made no progress for the longest time are given up.
+    std::size_t buffer_bytes = SIZE_MAX;
+};
+
+// Why connections and requests ended other than by a response and the client's close; numbers since the
+// start.
+struct HttpServerCounters {
+    std::uint64_t accepted = 0;
+    std::uint64_t evicted = 0;             // connections closed for a waiting client
+    std::uint64_t incomplete_dropped = 0;  // incomplete requests given up for memory, with status 408
+    std::uint64_t unread_dropped = 0;      // responses given up for memory
+    std::uint64_t incomplete = 0;          // requests that were not complete in time: status 408
+    std::uint64_t unread = 0;              // responses that were not read in time
+    std::uint64_t expired = 0;             // requests whose turn did not come in time: status 504
+    std::uint64_t read_ahead_dropped = 0;  // connections on which further requests were discarded
+    std::uint64_t malformed = 0;           // heads and bodies that are not HTTP
+
+    friend bool operator==(const HttpServerCounters&, const HttpServerCounters&) = default;
+};
+
+// Owns the connections. `release_if_ended` releases a connection once it is closed and no wait or write is in
 // progress on it.
+//
+// Work is bounded for each turn of the event loop, which runs handlers first and then timers: a connection is
+// read once, up to a limit, and one of its requests is served; of all complete requests as many are served as
+// RequestQueue allows. What is left is continued by timers that are due at once.
 class HttpServer final : public ResponseWriter, public TimerHandler {
   public:
-    // Serves at most `max_connections` connections at a time and request bodies of up to `max_request_body`
-    // bytes. A client that does not read its response within `write_timeout` is disconnected.
     HttpServer(boost::asio::io_context& io, EventClock& clock, RequestHandler& handler,
-               std::size_t max_connections, Nanos write_timeout,
-               std::size_t max_request_body = max_body_bytes);
+               const HttpServerLimits& limits);
 
     // Throws boost::system::system_error if the address can't be bound.
     void listen(const std::string& host, std::uint16_t port);
@@ -67,55 +100,54 @@
 
     // Returns the number of connections, including lingering ones.
     std::size_t open() const { return connections_.size(); }
+    const HttpServerCounters& counters() const { return counters_; }
+    MemoryBudget& memory() { return memory_; }
     void on_timer_due(Handle handle, std::uint64_t what) override;
 
   private:
-    // A connection reads a request, waits for the handler's response, writes it, or lingers half-closed.
-    enum class State : std::uint8_t { reading, waiting, writing, lingering, closed };
-    struct Connection {
-        Connection(boost::asio::ip::tcp::socket accepted, std::size_t max_request_body)
-            : socket(std::move(accepted)), reader(max_request_body) {}
-
-        boost::asio::ip::tcp::socket socket;
-        State state = State::reading;
-        bool is_last = false;  // no further request is served on it
-        bool peer_ended = false;
-        bool read_pending = false, write_pending = false;
-        RequestReader reader;
-        std::string unread;  // received, but not yet parsed
-        std::array<char, 4096> buffer;
-        std::string head, body;        // of the response that is being written
-        bool served = false;           // at least one request was served
-        bool writes_continue = false;  // "100 Continue" is being written
-        std::size_t discarded = 0;     // bytes received while lingering
-        Nanos idle_since = 0;
-        Nanos request_began = 0;
-        Nanos next_request_began = 0;  // while one is in progress; 0 if no byte of a next one has arrived
-        TimerQueue::TimerId timer = TimerQueue::none;
-    };
+    using Connection = HttpConnection;
+    using State = HttpConnection::State;
+    // What a timer is for. Timers of the server have no handle.
+    enum Timer : std::uint64_t { timeout_timer, turn_timer, accept_timer, queue_timer };
 
     // Accepting.
     void accept();
     void on_acceptable();
-    void retry_accept_later();
+    void accept_later(Nanos pause);
     void add_connection(boost::asio::ip::tcp::socket socket);
     bool evict_one();
 
     // Reading requests.
     void await_request(Handle handle);
-    void read(Handle handle);
-    void on_received(Handle handle, const boost::system::error_code& failure, std::size_t size);
+    void await_bytes(Handle handle);
+    void on_readable(Handle handle);
+    void continue_in_next_turn(Handle handle, Nanos pause = 0);
+    void on_turn(Handle handle);
+    void process_received(Handle handle);
+    bool receive(Handle handle, Connection& connection);
+    std::size_t receivable(Handle handle, const Connection& connection);
     void keep_received(Handle handle, Connection& connection, std::size_t size);
-    void parse(Handle handle);
+    void parse(Handle handle, Connection& connection);
     void note_request_began(Handle handle, Connection& connection);
     bool is_idle(const Connection& connection) const;
 
+    // Serving requests.
+    void queue_request(Handle handle, Connection& connection);
+    void serve_queued();
+    void serve(Handle handle);
+
+    // Memory.
+    bool make_room(Handle handle, std::size_t bytes);
+    void drop_for_memory(Handle handle);
+
     // Writing responses.
+    void reject(Handle handle, int status);
     void write(Handle handle);
     void on_written(Handle handle, const boost::system::error_code& failure);
     void on_response_written(Handle handle);
 
     // Ending.
+    void on_timeout(Handle handle);
     void half_close(Handle handle);
     void close(Handle handle);
     void release_if_ended(Handle handle);
@@ -123,13 +155,15 @@
     boost::asio::io_context& io_;
     EventClock& clock_;
     RequestHandler& handler_;
-    const std::size_t max_connections_;
-    const Nanos write_timeout_;
-    const std::size_t max_request_body_;
+    const HttpServerLimits limits_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    MemoryBudget memory_;
     SlotMap<Connection> connections_;
+    RequestQueue queue_;
+    HttpServerCounters counters_;
+    std::array<char, 16384> received_;  // by the read in progress
     bool accept_pending_ = false, stopping_ = false;
-    TimerQueue::TimerId accept_timer_ = TimerQueue::none;
+    TimerQueue::TimerId accept_timer_ = TimerQueue::none, queue_timer_ = TimerQueue::none;
 };
 
 }  // namespace tealcart
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -735,7 +735,7 @@
 // An HTTP server with a simulated clock that answers all paths but "/held".
 struct HttpServerRig final : RequestHandler {
     explicit HttpServerRig(std::size_t max_connections)
-        : server(io, time, *this, max_connections, 4000 * test::ms) {
+        : server(io, time, *this, {max_connections, 4000 * test::ms}) {
         server.listen("127.0.0.1", 0);
     }
 
@@ -749,7 +749,15 @@
     void on_client_disconnected(Handle) override { ++disconnects; }
     template <typename Happened>
     void run_until(Happened happened) {
-        while (!happened()) REQUIRE(io.run_one_for(std::chrono::seconds(20)) > 0);
+        while (!happened()) {
+            REQUIRE(io.run_one_for(std::chrono::seconds(20)) > 0);
+            time.timers.fire_due(now);
+        }
+    }
+    // One turn of the event loop: the handlers that are ready, then the timers that are due.
+    void poll() {
+        io.poll();
+        time.timers.fire_due(now);
     }
     std::shared_ptr<TestConnection> client(const std::string& bytes) {
         auto peer = connect_to(io, server.port());
@@ -784,7 +792,7 @@
     CHECK(rig.time.timers.next() < rig.now + 1100 * test::ms);
     rig.now = rig.time.timers.next() - 1;
     rig.time.timers.fire_due(rig.now);
-    rig.io.poll();
+    rig.poll();
     CHECK(client->received.empty());
     rig.now += 1;
     rig.time.timers.fire_due(rig.now);
@@ -826,7 +834,7 @@
         [&] { return rig.request_paths.size() == 2 && rig.server.open() == 3 && !served->received.empty(); });
     rig.now += 2000 * test::ms - 1;
     rig.time.timers.fire_due(rig.now);
-    rig.io.poll();
+    rig.poll();
     CHECK(rig.server.open() == 3);
     rig.now += 1;
     rig.time.timers.fire_due(rig.now);
@@ -931,7 +939,7 @@
     rig.run_until([&] { return rig.request_paths.size() == 1; });
     for (int i = 0; i < 64; ++i) {  // far more bytes than are buffered for further requests
         client->send(std::string(8192, 'x'));
-        rig.io.poll();
+        rig.poll();
     }
     client->socket.close();
     rig.run_until([&] { return rig.disconnects == 1; });
@@ -945,7 +953,7 @@
     rig.run_until([&] { return rig.request_paths.size() == 1; });
     for (int i = 0; i < 16; ++i) {
         client->send(get_request + std::string(8192, ' '));
-        rig.io.poll();
+        rig.poll();
     }
     rig.server.answer(rig.last_client, {200, "yes"});
     rig.run_until([&] { return client->ended; });
