HTTP server: what clients' connections hold is bounded by limits.memory_mb

Cause: each connection bounds its own request (72 KB), read-ahead (72 KB) and response (64 KB), but nothing bounds their sum; descriptors allow 672 clients, which is 140 MB. A body also grew by doubling past its stated length, and freed buffers were kept until the response was read.

--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 
 #include "log/log.hpp"
+#include "service/memory_limits.hpp"
 
 namespace tealcart {
 namespace {
@@ -30,6 +31,7 @@
     HttpServerLimits limits;
     limits.connections = startup.max_descriptors - reserved_descriptors - max_node_connections(startup);
     limits.write_timeout = startup.connection_config.max_wait;
+    limits.buffer_bytes = divide_memory(startup.memory_bytes).client_buffers;
     return limits;
 }
 
