--- a/src/testing/client_load_rig.cpp
+++ b/src/testing/client_load_rig.cpp
@@ -67,6 +67,8 @@
 
 void ClientLoadRig::write_config() {
     Json settings = platform_settings(1, options_.nodes, shards, replicas_per_shard);
+    settings["limits"]["may_cancel"] = options_.may_cancel;
+    settings["limits"]["most_held"] = options_.most_held;
     const Json config = {
         {"name", "n0"},
         {"listen", "127.0.0.1:" + std::to_string(port_)},
@@ -113,6 +115,11 @@
 
 // Answers each part of a call with its text.
 bool ClientLoadRig::serve_node_bytes(Connection& connection) {
+    if (nodes_hang_) {
+        connection.reads = false;
+        hung_.push_back(connection.shared_from_this());
+        return true;
+    }
     std::string_view unread = connection.received;
     Frame frame;
     while (take_frame(unread, frame) == FrameStatus::complete) {
--- a/src/testing/client_load_rig.hpp
+++ b/src/testing/client_load_rig.hpp
@@ -20,6 +20,8 @@
     std::size_t nodes = 6;
     std::chrono::milliseconds query_interval{20}, query_deadline{480}, node_delay{20};
     std::uint64_t seed = 1;
+    bool may_cancel = true;  // whether the settings allow attempts to be cancelled
+    int most_held = 400;     // queries and shard requests in progress
 };
 
 // An ordinary query and its answer.
@@ -67,6 +69,8 @@
 
     // Data nodes receive calls, but answer none.
     void silence_nodes(bool silent) { nodes_are_silent_ = silent; }
+    // Data nodes read nothing from their connections. They can't go on afterwards.
+    void hang_nodes() { nodes_hang_ = true; }
     // Returns when attempts of this query arrived at data nodes.
     const std::vector<TimePoint>& attempts_of(const std::string& query_id) const;
     // Returns the attempts that began more than `allowed` after their client had left, one line each.
@@ -101,10 +105,11 @@
     std::string entries_;
     std::unique_ptr<Process> router_;
     boost::asio::steady_timer query_timer_;
-    bool sends_queries_ = false, nodes_are_silent_ = false;
+    bool sends_queries_ = false, nodes_are_silent_ = false, nodes_hang_ = false;
     std::vector<OrdinaryQuery> queries_;
     std::vector<std::shared_ptr<QueryConnection>> connections_;
     std::map<std::string, std::vector<TimePoint>> attempts_;  // by query id
+    std::vector<std::shared_ptr<Connection>> hung_;           // connections that are not read any more
 };
 
 }  // namespace tealcart::testing
--- a/src/testing/fleet.cpp
+++ b/src/testing/fleet.cpp
@@ -31,7 +31,7 @@
                                if (!self->open) return;
                                self->received.append(self->buffer_.data(), length);
                                if (ec || !self->read_handler_(*self)) return self->close(false);
-                               self->read();
+                               if (self->reads) self->read();
                            });
 }
 
--- a/src/testing/fleet.hpp
+++ b/src/testing/fleet.hpp
@@ -36,6 +36,7 @@
     Socket socket;
     std::string received;  // bytes that are not handled yet
     bool open = true;
+    bool reads = true;             // cleared by a side that reads nothing more
     std::function<void()> on_end;  // called once either side has closed it
 
   private:
--- a/tests/client_load_test.cpp
+++ b/tests/client_load_test.cpp
@@ -89,6 +89,25 @@
     router.check_memory();
 }
 
+TEST_CASE("large texts stay within the memory although attempts at silent data nodes can't be cancelled") {
+    ClientLoadOptions options;
+    options.may_cancel = false;
+    options.most_held = 4000;
+    LoadedRouter router(options);
+    router.rig.silence_nodes(true);
+    router.run(Misbehaviour::asks_for_large_values, 300);
+    router.check_memory();
+}
+
+TEST_CASE("large texts to data nodes that read nothing stay within the memory") {
+    ClientLoadOptions options;
+    options.most_held = 4000;
+    LoadedRouter router(options);
+    router.rig.hang_nodes();
+    router.run(Misbehaviour::asks_for_large_values, 300);
+    router.check_memory();
+}
+
 TEST_CASE("one client that sends nested bodies at full speed makes no other client's answer late") {
     LoadedRouter router;
     router.run(Misbehaviour::sends_nested_bodies, 1);
