Query table: texts, shard requests and values are bounded by limits.memory_mb

What callers saw: a process over its memory limit where clients send large texts and leave, and attempts can't be cancelled. Cause: a query keeps its text (64 KB), its shard requests and its values (64 KB) until its last attempt has ended, and frames that are being written keep the text longer; limits.most_held counts only queries that have not ended, and counts no bytes. Change: QueryTable charges them to a budget of an eighth of limits.memory_mb; the charge of a text goes with its last holder. A query that does not fit is refused with 503 (it was not begun); a value that does not fit counts as an error of its attempt and is logged with the query's id. Queries with large texts may use half of it and ordinary ones three quarters, so that ordinary ones are still served. Refusals and clients that left are counted by reason, and logged with the query's id at level debug.

--- a/src/service/attempt_dispatcher.cpp
+++ b/src/service/attempt_dispatcher.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "log/log.hpp"
+
 namespace tealcart {
 namespace {
 
@@ -171,9 +173,16 @@
     queries_.release_if_ended(ended.query);
 }
 
-// Stores the value of a shard request. Returns false if the response can't hold it.
+// Stores the value of a shard request. Returns false if the response can't hold it, or there is no memory for
+// it.
 bool AttemptDispatcher::store_value(Query& query, ShardRequest& shard_request, std::string_view value) {
     if (query.value_bytes + value.size() > max_body_bytes) return false;
+    if (!queries_.charge_value(query, value.size())) {
+        log_query(LogLevel::warn, query.text->id,
+                  "there is no memory for a value of %zu bytes: all queries hold %zu of %zu bytes",
+                  value.size(), queries_.memory().used(), queries_.memory().limit());
+        return false;
+    }
     query.value_bytes += value.size();
     shard_request.value = value;
     shard_request.answered = true;
--- a/src/service/query_dispatcher.cpp
+++ b/src/service/query_dispatcher.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "log/log.hpp"
+#include "service/memory_limits.hpp"
 
 namespace tealcart {
 namespace {
@@ -16,8 +17,9 @@
     : clock_(clock), parser_(startup.config, startup.connection_config.query_classes),
       round_interval_(startup.config.round_interval),
       max_active_(static_cast<std::size_t>(startup.connection_config.max_in_flight)),
-      events_(queries_, round_interval_), attempts_(clock, queries_, events_, startup),
-      completion_(queries_, attempts_), two_phase_(clock, queries_, events_, attempts_, completion_, startup),
+      queries_(divide_memory(startup.memory_bytes).queries), events_(queries_, round_interval_),
+      attempts_(clock, queries_, events_, startup), completion_(queries_, attempts_),
+      two_phase_(clock, queries_, events_, attempts_, completion_, startup),
       executor_(clock, queries_, events_, attempts_, completion_, two_phase_),
       router_(startup.config, startup.seed) {}
 
@@ -45,15 +47,35 @@
         return writer_->answer(client, health_response(request));
     auto parsed = parser_.parse(
         request, [this](std::size_t query_class) { return two_phase_.config(query_class).enabled; });
-    if (auto* error = std::get_if<Response>(&parsed)) return writer_->answer(client, std::move(*error));
-    const auto refuse = [&](int status, std::string_view message) {
-        writer_->answer(client, RequestParser::error(status, message));
+    if (auto* error = std::get_if<Response>(&parsed)) {
+        ++refusals_.invalid;
+        return writer_->answer(client, std::move(*error));
+    }
+    auto& query_request = std::get<QueryRequest>(parsed);
+    if (const auto refusal = refusal_of(request, query_request.body)) {
+        log_query(LogLevel::debug, request.id, "refused with status %d: %s", refusal->status,
+                  refusal->reason);
+        return writer_->answer(client, RequestParser::error(refusal->status, refusal->reason));
+    }
+    begin_query(client, request, std::move(query_request), began);
+}
+
+std::optional<QueryDispatcher::Refusal> QueryDispatcher::refusal_of(const Request& request,
+                                                                    const QueryBody& body) {
+    constexpr int conflict = 409, unavailable = 503;
+    const auto refuse = [](std::uint64_t& counter, int status, const char* reason) {
+        ++counter;
+        return Refusal{status, reason};
     };
     // Its shard requests would be indistinguishable from those of the query in progress.
-    if (queries_.find_by_request_id(request.id) != Handle{}) return refuse(409, "X-Request-Id is in use");
-    if (queries_.active() >= max_active_) return refuse(503, "too many queries in hand");
-    if (!serving_state_.admits) return refuse(503, "cut off from the fleet");
-    begin_query(client, request, std::get<QueryRequest>(std::move(parsed)), began);
+    if (queries_.find_by_request_id(request.id) != Handle{})
+        return refuse(refusals_.id_in_use, conflict, "X-Request-Id is in use");
+    if (queries_.active() >= max_active_)
+        return refuse(refusals_.too_many, unavailable, "too many queries in hand");
+    if (!queries_.has_memory_for(body.text.size(), body.shard_requests.size()))
+        return refuse(refusals_.no_memory, unavailable, "no memory for a further query");
+    if (!serving_state_.admits) return refuse(refusals_.cut_off, unavailable, "cut off from the fleet");
+    return std::nullopt;
 }
 
 Response QueryDispatcher::health_response(const Request& request) const {
@@ -88,6 +110,9 @@
     const Handle handle = queries_.find_by_client(client);
     const Query* query = queries_.find(handle);
     if (query == nullptr) return;
+    ++refusals_.clients_left;
+    log_query(LogLevel::debug, query->text->id, "the client has left, %d attempts are in flight",
+              query->in_flight);
     if (query->announced) events_.push(ClientDisconnected{query->id});
     completion_.end(handle);
 }
--- a/src/service/query_dispatcher.hpp
+++ b/src/service/query_dispatcher.hpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,18 @@
 
 namespace tealcart {
 
+// Why queries got no response from the router's decisions; numbers since the start.
+struct RefusalCounters {
+    std::uint64_t id_in_use = 0;     // status 409
+    std::uint64_t too_many = 0;      // status 503: limits.most_held
+    std::uint64_t no_memory = 0;     // status 503: the memory of queries
+    std::uint64_t cut_off = 0;       // status 503: cut off from the fleet
+    std::uint64_t invalid = 0;       // status 4xx: not a query
+    std::uint64_t clients_left = 0;  // the client disconnected before its response
+
+    friend bool operator==(const RefusalCounters&, const RefusalCounters&) = default;
+};
+
 // Owns the queries, their attempts and the table of nodes. The connections belong to the AttemptSender and
 // the ResponseWriter.
 class QueryDispatcher final : public RequestHandler, public ConnectionObserver, public MemberHost {
@@ -65,13 +78,23 @@
     void set_two_phase_config(std::vector<TwoPhaseConfig> by_query_class);
 
     std::size_t attempts_in_flight() const { return attempts_.in_flight(); }
+    const RefusalCounters& refusals() const { return refusals_; }
+    // The memory of the queries' texts, shard requests and values.
+    MemoryBudget& memory() { return queries_.memory(); }
     const NodeTable& nodes() const { return nodes_; }
     const TwoPhaseCounters& two_phase_counters() const { return two_phase_.counters(); }
     const TwoPhaseCapability& two_phase_capability() const { return two_phase_.capability(); }
     const SectionFilterCache& section_filter_cache() const { return two_phase_.section_filter_cache(); }
 
   private:
+    // Why a valid query is not begun.
+    struct Refusal {
+        int status = 0;
+        const char* reason = "";
+    };
+
     Response health_response(const Request& request) const;
+    std::optional<Refusal> refusal_of(const Request& request, const QueryBody& body);
     void begin_query(Handle client, Request& request, QueryRequest query_request, Nanos began);
 
     EventClock& clock_;
@@ -83,6 +106,7 @@
     bool begun_ = false, stopping_ = false;
     std::array<MemberServingState, 2> serving_states_;  // by ServingStateSource
     MemberServingState serving_state_;                  // the strictest combination of them
+    RefusalCounters refusals_;
 
     NodeTable nodes_;
     QueryTable queries_;
--- a/src/service/query_table.cpp
+++ b/src/service/query_table.cpp
@@ -7,6 +7,8 @@
     Query& query = *queries_.find(handle);
     query.id = new_id();
     query.client = client;
+    query.charge = MemoryCharge(memory_);
+    text->charge = MemoryCharge(memory_, text->id.size() + text->key.size() + text->text.size());
     query.text = std::move(text);
     by_request_id_[query.text->id] = handle;
     by_client_[client.slot] = handle;
@@ -30,9 +32,22 @@
     shard_request.cost_hint = requested.hint;
     const auto index = static_cast<std::uint32_t>(query.shard_requests.size() - 1);
     shard_request_by_id_[shard_request.id] = {handle, index};
+    query.charge.resize(query.charge.bytes() + bytes_per_shard_request);
     ++active_;
 }
 
+bool QueryTable::has_memory_for(std::size_t text_bytes, std::size_t shard_requests) const {
+    const std::size_t needed = text_bytes + shard_requests * bytes_per_shard_request;
+    const std::size_t quarter = memory_.limit() / 4;
+    return memory_.used() + needed <= (text_bytes >= min_large_text_bytes ? 2 : 3) * quarter;
+}
+
+bool QueryTable::charge_value(Query& query, std::size_t bytes) {
+    if (!memory_.fits(bytes)) return false;
+    query.charge.resize(query.charge.bytes() + bytes);
+    return true;
+}
+
 // Skips ids that are in use, since the ids of a long-running process wrap around.
 std::uint32_t QueryTable::new_id() {
     do ++last_id_;
--- a/src/service/query_table.hpp
+++ b/src/service/query_table.hpp
@@ -65,14 +65,29 @@
     std::shared_ptr<QueryText> text;
     std::vector<ShardRequest> shard_requests;
     std::size_t value_bytes = 0;  // total size of all values
+    MemoryCharge charge;          // for the shard requests and their values
     int in_flight = 0;            // number of attempts without an outcome
     std::unique_ptr<TwoPhaseQuery> two_phase;
 };
 
 // Owns the queries. `release_if_ended` releases a query once it has ended and none of its attempts is in
 // flight. Lookups with the handle of a released query find nothing.
+//
+// The bytes of texts, shard requests and values are bounded, also those of queries that have ended: their
+// attempts in flight and the frames that are being written keep them. Of the bound, new queries with a large
+// text may use half, and other new queries three quarters, so that neither the values of queries in progress
+// nor ordinary queries are kept out by a few large ones.
 class QueryTable {
   public:
+    // `max_bytes` bounds what all queries hold.
+    explicit QueryTable(std::size_t max_bytes = SIZE_MAX) : memory_(max_bytes) {}
+
+    // Returns whether there is memory for a further query with a text of this size.
+    bool has_memory_for(std::size_t text_bytes, std::size_t shard_requests) const;
+    // Adds the value of a shard request to what its query holds. Returns false if there is no memory for it.
+    bool charge_value(Query& query, std::size_t bytes);
+    MemoryBudget& memory() { return memory_; }
+
     // Locates a shard request.
     struct ShardRequestPosition {
         Handle query;
@@ -111,8 +126,13 @@
         using is_transparent = void;
     };
 
+    // A shard request with its attempts and index entries, here and at the router.
+    static constexpr std::size_t bytes_per_shard_request = 512;
+    static constexpr std::size_t min_large_text_bytes = 1024;
+
     std::uint32_t new_id();
 
+    MemoryBudget memory_;
     SlotMap<Query> queries_;
     std::unordered_map<std::uint32_t, Handle> by_id_;
     std::unordered_map<std::uint32_t, ShardRequestPosition> shard_request_by_id_;
--- a/src/service/two_phase_coordinator.cpp
+++ b/src/service/two_phase_coordinator.cpp
@@ -44,6 +44,7 @@
     Query& query = *queries_.find(handle);
     auto text = std::make_shared<QueryText>(*query.text);
     text->criteria = write_search_criteria(body.criteria);
+    text->charge.resize(text->charge.bytes() + text->criteria.size());
     query.text = std::move(text);
     std::vector<double> weights;
     for (const QueryShardRequest& section : body.shard_requests) weights.push_back(section.weight);
--- a/src/wire/attempt_message.hpp
+++ b/src/wire/attempt_message.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "router/query_router.hpp"
+#include "tables/memory_budget.hpp"
 #include "tables/slot_map.hpp"
 #include "tables/timer_queue.hpp"
 
@@ -15,6 +16,7 @@
 struct QueryText {
     std::string id, key, text;  // the client's request id, its idempotency key and the text to search for
     std::string criteria;       // the encoded search criteria of a two-phase query
+    MemoryCharge charge = {};   // for their bytes
 };
 
 // An attempt that is queued on a connection to a data node.
--- a/tests/client_load_test.cpp
+++ b/tests/client_load_test.cpp
@@ -80,6 +80,7 @@
     LoadedRouter router;
     router.run(Misbehaviour::reads_no_answers, crowd);
     router.check_memory();
+    router.check_answers();
 }
 
 TEST_CASE("large texts of clients that leave while data nodes are silent stay within the memory") {
