Query body: text that is nested over 64 deep is malformed

What callers saw: one client with 64 KB bodies of nested brackets holds the router up; each body took several MB while it was read. Cause: nlohmann/json makes a node with an allocation of its own for each bracket and frees them one by one. Change: read_query counts the nesting before it parses, outside strings; over 64 the body is malformed (400).

--- a/src/wire/query_body.cpp
+++ b/src/wire/query_body.cpp
@@ -21,6 +21,24 @@
 constexpr double max_cost_us = 1e12, nanos_per_us = 1e3;
 constexpr double open_end = 1.7e308;  // the end of an open range: the largest value that frames can contain
 
+// Parsing deeply nested text takes several times the time and memory of other text of the same size.
+constexpr int max_nesting = 64;
+
+// Returns whether arrays and objects are nested at most `max_nesting` deep. Brackets in strings don't count.
+bool has_allowed_nesting(std::string_view json) {
+    int depth = 0;
+    bool in_string = false;
+    for (std::size_t i = 0; i < json.size(); ++i) {
+        const char c = json[i];
+        if (in_string && c == '\\') ++i;
+        if (c == '"') in_string = !in_string;
+        if (in_string) continue;
+        if ((c == '[' || c == '{') && ++depth > max_nesting) return false;
+        if (c == ']' || c == '}') --depth;
+    }
+    return true;
+}
+
 // Returns whether frames can contain the text as a term or a field's name.
 bool is_name(const std::string& text, std::size_t max_size) {
     return !text.empty() && text.size() <= max_size && std::none_of(text.begin(), text.end(), [](char c) {
@@ -112,6 +130,7 @@
 
 std::variant<QueryBody, QueryBodyError> read_query(std::string_view body, std::uint32_t shards,
                                                    bool with_criteria) {
+    if (!has_allowed_nesting(body)) return QueryBodyError{{}, "the body is nested too deeply"};
     const Json in = Json::parse(body, nullptr, false);
     if (in.is_discarded()) return QueryBodyError{{}, "the body is not JSON"};
     auto text = json_text(in, "text");
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -131,6 +131,17 @@
         CHECK_FALSE(is_utf8(bad));
 }
 
+TEST_CASE("a query body may be nested up to a limit, and brackets in its strings don't count") {
+    const auto nested = [](std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); };
+    const auto query = [](const std::string& member) {
+        return R"({"text":"x","segments":[{"segment":0,"boost":1}],"further":)" + member + "}";
+    };
+    CHECK(error_of(query(nested(63))).empty());
+    CHECK(error_of(query(nested(64))) == "the body is nested too deeply");
+    CHECK(error_of(std::string(65'000, '[')) == "the body is nested too deeply");
+    CHECK(error_of(query('"' + std::string(65, '[') + R"(\"[[\\")")).empty());
+}
+
 TEST_CASE("a valid query body is parsed and its weights are normalized to a sum of 1") {
     const auto read = read_query(
         R"({"segments":[{"segment":3,"boost":0.75,"work":9000,"affinity":"00ff"},{"segment":0,"boost":0.249998}],"text":"c4\n"})",
