HTTP server: emptied buffers are really freed, and bodies grow within their length

Cause: 'unread = {}' assigns an empty list, which keeps the string's buffer, so that each connection kept 16 KB after its first large read. A body of 60,000 bytes took a buffer of 73,475, since the string at least doubles. Change: buffers are swapped with an empty string; bodies grow fourfold up to their stated length.

--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -84,11 +84,12 @@
     void on_finish_impl(error_code&) override {}
 
   private:
-    // Grows the body by doubling, but not beyond its stated length.
+    // Grows the body in few steps, but not beyond its stated length: the string at least doubles its buffer.
     void reserve_for(std::size_t bytes) {
+        constexpr std::size_t growth = 4;
         const std::size_t needed = body.size() + bytes;
         if (needed <= body.capacity()) return;
-        const std::size_t wanted = std::max(needed, 2 * body.capacity());
+        const std::size_t wanted = std::max(needed, growth * body.capacity());
         const bool is_stated = stated_length >= needed;
         body.reserve(is_stated ? std::min<std::size_t>(wanted, stated_length) : wanted);
     }
--- a/src/wire/http_connection.hpp
+++ b/src/wire/http_connection.hpp
@@ -35,11 +35,16 @@
     bool has_request() const {
         return state == State::queued || state == State::waiting || state == State::writing;
     }
-    // Frees the buffers of requests.
+    // Frees the buffers of requests, of what was received behind one, and of the response.
     void drop_requests() {
-        unread = {};
+        drop_unread();
         reader.next();
     }
+    void drop_unread() { std::string().swap(unread); }  // an assignment would keep the buffer
+    void drop_response() {
+        std::string().swap(head);
+        std::string().swap(body);
+    }
 
     boost::asio::ip::tcp::socket socket;
     State state = State::reading;
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -224,7 +224,7 @@
         if (connection.unread.size() + size > max_unread || !make_room(handle, size)) {
             ++counters_.read_ahead_dropped;
             connection.is_last = true;
-            connection.unread = {};
+            connection.drop_unread();
             return;
         }
     }
@@ -239,7 +239,7 @@
     if (!had_begun && connection.reader.begun()) note_request_began(handle, connection);
     if (connection.unread.empty()) {
         connection.next_request_began = 0;
-        connection.unread = {};
+        connection.drop_unread();
     }
     connection.update_charge();
     if (status != ParseStatus::incomplete) {
@@ -368,8 +368,7 @@
 void HttpServer::on_response_written(Handle handle) {
     Connection& connection = *connections_.find(handle);
     clock_.timers.cancel(connection.timer);
-    connection.head = {};
-    connection.body = {};
+    connection.drop_response();
     connection.update_charge();
     if (connection.peer_ended) return close(handle);
     if (connection.is_last) return half_close(handle);
