Service: log lines on what clients made the process refuse and hold, and on long turns

Change: LoadReport writes at most one line a second on clients (connections, evictions, requests and responses given up for memory or time, requests that expired in the queue, bytes held and their peak against the limit), one on refused queries by reason and the memory of queries, and one where a turn of the loop took over 100 ms. None while nothing is given up.

--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -63,7 +63,7 @@
                  startup_.discovery, startup_.config.discovery,
                  static_cast<std::uint32_t>(startup_.config.places), startup_.seed + 2,
                  startup_.endpoint_list_limit),
-      timer_(io_) {
+      load_report_(server_, dispatcher_), timer_(io_) {
     start();
 }
 
@@ -135,6 +135,7 @@
     // since before that.
     clock_.wake_deadline = timer_at_;
     io_.run_one();
+    const Nanos woken_at = clock_.now();
     // After a stall many handlers are ready and many timers due. Received data is processed before timeouts.
     for (int i = 0; i < max_handlers_per_turn && io_.poll_one() > 0; ++i) {
     }
@@ -144,6 +145,7 @@
     if (!dispatcher_.begun() && (discovery_.has_list() || clock_.now() >= first_list_deadline_))
         dispatcher_.begin();
     run_due_round();
+    load_report_.on_turn_end(woken_at, clock_.now());
     return !may_exit();
 }
 
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 
 #include "service/config_follower.hpp"
+#include "service/load_report.hpp"
 #include "service/membership.hpp"
 #include "service/query_dispatcher.hpp"
 #include "service/startup_config.hpp"
@@ -59,6 +60,7 @@
     std::unique_ptr<Membership> membership_;    // null if the operators' file has no `member` block
     std::unique_ptr<ConfigFollower> follower_;  // null if that block names no relays
     DiscoveryWatch discovery_;
+    LoadReport load_report_;
     boost::asio::steady_timer timer_;
     Nanos timer_at_ = TimerQueue::never;
     Nanos stop_began_ = 0;           // 0 if the service is not stopping
