--- a/src/testing/bad_clients.cpp
+++ b/src/testing/bad_clients.cpp
@@ -6,7 +6,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
+#include <string_view>
 
 namespace tealcart::testing {
 namespace {
@@ -41,6 +44,19 @@
 
 }  // namespace
 
+bool is_malformed(Misbehaviour misbehaviour) {
+    switch (misbehaviour) {
+        case Misbehaviour::stops_in_body:
+        case Misbehaviour::writes_slowly:
+        case Misbehaviour::sends_many_fields:
+        case Misbehaviour::sends_nested_bodies:
+        case Misbehaviour::sends_unsound_requests:
+            return true;
+        default:
+            return false;
+    }
+}
+
 BadClients::BadClients(std::uint16_t port, Misbehaviour misbehaviour, std::size_t count, std::uint64_t seed)
     : port_(port), misbehaviour_(misbehaviour), random_(seed), clients_(count) {
     thread_ = std::thread([this] { run(); });
@@ -68,7 +84,7 @@
             Client& client = clients_[i];
             if (client.socket < 0) continue;
             if ((polled[i].revents & POLLOUT) != 0) write(client, woken);
-            if (client.socket >= 0 && (polled[i].revents & POLLIN) != 0) discard_answers(client, woken);
+            if (client.socket >= 0 && (polled[i].revents & POLLIN) != 0) read_answers(client, woken);
             const bool ended = (polled[i].revents & (POLLERR | POLLHUP | POLLRDHUP)) != 0;
             if (client.socket >= 0 && (ended || client.close_at <= woken)) close(client, woken);
         }
@@ -167,10 +183,18 @@
     if (misbehaviour_ == Misbehaviour::leaves_with_unread) close(client, now);
 }
 
-void BadClients::discard_answers(Client& client, TimePoint now) {
+void BadClients::read_answers(Client& client, TimePoint now) {
     std::array<char, 65536> buffer;
     const ssize_t size = ::recv(client.socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
-    if (size == 0 || (size < 0 && errno != EAGAIN)) close(client, now);
+    if (size == 0 || (size < 0 && errno != EAGAIN)) return close(client, now);
+    constexpr std::string_view status_line = "HTTP/1.1 ";
+    std::string_view rest(buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+    for (std::size_t at = 0; (at = rest.find(status_line)) != rest.npos;) {
+        rest.remove_prefix(at + status_line.size());
+        int status = 0;
+        std::from_chars(rest.data(), rest.data() + rest.size(), status);
+        ++answers_[status];
+    }
 }
 
 void BadClients::close(Client& client, TimePoint now) {
--- a/src/testing/bad_clients.hpp
+++ b/src/testing/bad_clients.hpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <random>
 #include <string>
 #include <thread>
@@ -27,6 +28,9 @@
     leaves_with_unread       // sends many valid queries at once and closes the connection at once
 };
 
+// Returns whether all requests of such clients are malformed or incomplete.
+bool is_malformed(Misbehaviour misbehaviour);
+
 // A query whose client has left.
 struct Departure {
     std::string id;
@@ -44,6 +48,8 @@
     void stop();
     const std::vector<Departure>& departures() const { return departures_; }
     std::uint64_t bytes_sent() const { return bytes_sent_; }
+    // The number of answers with each status, but for those that arrived in pieces.
+    const std::map<int, std::uint64_t>& answers() const { return answers_; }
 
   private:
     struct Client {
@@ -58,7 +64,7 @@
     void connect(Client& client, TimePoint now);
     void prepare(Client& client, TimePoint now);
     void write(Client& client, TimePoint now);
-    void discard_answers(Client& client, TimePoint now);
+    void read_answers(Client& client, TimePoint now);
     void close(Client& client, TimePoint now);
     std::string valid_query(Client& client, std::size_t text_bytes);
     std::string next_id();
@@ -69,6 +75,7 @@
     std::vector<Client> clients_;
     std::vector<Departure> departures_;
     std::uint64_t last_id_ = 0, bytes_sent_ = 0;
+    std::map<int, std::uint64_t> answers_;  // by status
     std::atomic<bool> stopping_ = false;
     std::thread thread_;
 };
--- a/src/testing/client_load_rig.cpp
+++ b/src/testing/client_load_rig.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t max_answer_bytes = 1 << 20;
 // Clients use a connection again only if it has rested for less than this.
 constexpr Ms max_rest{1500};
-constexpr Ms poll_interval{5}, ready_timeout{10'000};
+constexpr Ms poll_interval{5}, ready_timeout{10'000}, memory_sample_interval{20};
 constexpr Ms lateness_allowed{500};  // "Up to half a second after its time it only earns nothing"
 
 TimePoint now() { return std::chrono::steady_clock::now(); }
@@ -90,9 +90,28 @@
         throw std::runtime_error("the router does not start:\n" + event_log.text());
 }
 
+bool ClientLoadRig::terminate_router(Ms arrivals, Ms kill_after) {
+    const TimePoint stopped_at = now();
+    router_->signal(SIGTERM);
+    until([this] { return router_->ended(); }, arrivals);
+    opens_connections_ = false;
+    const bool ended = until([this] { return router_->ended(); }, kill_after - span(stopped_at, now()));
+    // What is unanswered at this kill is lost, so nothing is exempt.
+    if (!ended) router_->signal(SIGKILL);
+    until([this] { return router_->ended(); }, ready_timeout);
+    opens_connections_ = true;
+    return ended && router_->status() == 0;
+}
+
+void ClientLoadRig::kill_router() {
+    for (OrdinaryQuery& query : queries_) query.exempt |= query.status == 0;
+    sample_memory();
+    router_->signal(SIGKILL);
+    until([this] { return router_->ended(); }, ready_timeout);
+}
+
 void ClientLoadRig::run_for(Ms span) {
-    const TimePoint end = now() + span;
-    while (now() < end) io_.run_one_for(poll_interval);
+    until([] { return false; }, span);
 }
 
 bool ClientLoadRig::until(const std::function<bool()>& holds, Ms within) {
@@ -100,17 +119,26 @@
     while (!holds()) {
         if (now() > end) return false;
         io_.run_one_for(poll_interval);
+        if (router_ != nullptr && now() >= sample_memory_at_) sample_memory();
     }
     return true;
 }
 
-std::size_t ClientLoadRig::peak_memory_bytes() const {
-    std::ifstream status("/proc/" + std::to_string(router_->pid()) + "/status");
+std::size_t ClientLoadRig::peak_memory_bytes() {
+    sample_memory();
+    return peak_memory_bytes_;
+}
+
+// The system states the peak of a process since its start, so only the last moments before its end are
+// missed.
+void ClientLoadRig::sample_memory() {
     constexpr std::size_t bytes_per_kb = 1024;
+    sample_memory_at_ = now() + memory_sample_interval;
+    std::ifstream status("/proc/" + std::to_string(router_->pid()) + "/status");
+    std::size_t kilobytes = 0;
     for (std::string word; status >> word;)
-        if (std::size_t kilobytes = 0; word == "VmHWM:" && status >> kilobytes)
-            return kilobytes * bytes_per_kb;
-    return 0;
+        if (word == "VmHWM:" && status >> kilobytes) break;
+    peak_memory_bytes_ = std::max(peak_memory_bytes_, kilobytes * bytes_per_kb);
 }
 
 // Answers each part of a call with its text.
@@ -188,6 +216,7 @@
 }
 
 std::shared_ptr<ClientLoadRig::QueryConnection> ClientLoadRig::open_connection() {
+    if (!opens_connections_) return nullptr;
     boost::asio::ip::tcp::socket socket(io_);
     boost::system::error_code failure;
     socket.connect({boost::asio::ip::address_v4::loopback(), port_}, failure);
@@ -254,11 +283,6 @@
         options_.query_deadline + lateness_allowed + Ms(100));
 }
 
-void ClientLoadRig::exempt_open_queries(TimePoint sent_after) {
-    for (OrdinaryQuery& query : queries_)
-        if (query.status == 0 && query.sent_at >= sent_after) query.exempt = true;
-}
-
 AnswerCounts ClientLoadRig::answers() const {
     constexpr int ok = 200, too_many = 429, unavailable = 503;
     AnswerCounts counts;
@@ -274,6 +298,20 @@
     return counts;
 }
 
+std::vector<std::string> ClientLoadRig::late_queries() const {
+    std::vector<std::string> found;
+    for (const OrdinaryQuery& query : queries_) {
+        const Ms took = span(query.sent_at, query.status != 0 ? query.answered_at : now());
+        if (query.exempt || took <= options_.query_deadline + lateness_allowed) continue;
+        found.push_back(query.id + ", sent at " +
+                        std::to_string(span(event_log.started_at, query.sent_at).count()) + " ms, status " +
+                        std::to_string(query.status) + " after " + std::to_string(took.count()) +
+                        " ms, attempts: " + std::to_string(attempts_of(query.id).size()) +
+                        (query.sent_again ? ", sent again" : ""));
+    }
+    return found;
+}
+
 const std::vector<TimePoint>& ClientLoadRig::attempts_of(const std::string& query_id) const {
     static const std::vector<TimePoint> none;
     const auto found = attempts_.find(query_id);
--- a/src/testing/client_load_rig.hpp
+++ b/src/testing/client_load_rig.hpp
@@ -30,7 +30,7 @@
     TimePoint sent_at, answered_at;
     int status = 0;           // 0: no answer yet, or the connection ended without one
     bool sent_again = false;  // on a new connection, after an old one had ended without an answer
-    bool exempt = false;      // its router was killed
+    bool exempt = false;      // nothing is owed: it was not taken on, or its router was killed
 };
 
 // The answers to ordinary queries.
@@ -53,9 +53,15 @@
 
     void start_router();
     Process& router() { return *router_; }
+    // Sends SIGTERM, and SIGKILL once `kill_after` has gone by if the process has not ended by itself by
+    // then. Clients open new connections for `arrivals`, and use open ones until the end. Returns whether the
+    // process ended by itself, with status 0.
+    bool terminate_router(std::chrono::milliseconds arrivals, std::chrono::milliseconds kill_after);
+    // Ends the router with SIGKILL. Queries in flight may stay without an answer.
+    void kill_router();
     std::uint16_t port() const { return port_; }
-    // The largest resident memory that the router process has had, in bytes.
-    std::size_t peak_memory_bytes() const;
+    // The largest resident memory that a router process has had, in bytes.
+    std::size_t peak_memory_bytes();
     std::size_t memory_limit_bytes() const {
         return static_cast<std::size_t>(options_.memory_mb) * 1'000'000;
     }
@@ -63,9 +69,9 @@
     void start_queries();
     // Sends no further queries and waits until each one has its answer or is late.
     void finish_queries();
-    // Queries in flight now may stay without an answer, since their router is about to be killed.
-    void exempt_open_queries(TimePoint sent_after);
     AnswerCounts answers() const;
+    // Describes the queries that were answered late or never, one line each.
+    std::vector<std::string> late_queries() const;
 
     // Data nodes receive calls, but answer none.
     void silence_nodes(bool silent) { nodes_are_silent_ = silent; }
@@ -95,6 +101,7 @@
     bool read_answers(QueryConnection& query_connection);
     void on_connection_end(QueryConnection& query_connection);
     bool is_open(const OrdinaryQuery& query) const;
+    void sample_memory();
 
     boost::asio::io_context& io_;
     const ClientLoadOptions options_;
@@ -105,6 +112,9 @@
     std::string entries_;
     std::unique_ptr<Process> router_;
     boost::asio::steady_timer query_timer_;
+    std::size_t peak_memory_bytes_ = 0;
+    TimePoint sample_memory_at_;
+    bool opens_connections_ = true;
     bool sends_queries_ = false, nodes_are_silent_ = false, nodes_hang_ = false;
     std::vector<OrdinaryQuery> queries_;
     std::vector<std::shared_ptr<QueryConnection>> connections_;
--- a/tests/client_load_test.cpp
+++ b/tests/client_load_test.cpp
@@ -30,7 +30,14 @@
         rig.run_for(load_time);
         rig.finish_queries();
         clients.stop();
+        for (const std::string& line : rig.router().lines())
+            if (line.find("the event loop was busy") != line.npos || line.find("clients: ") == 0)
+                std::printf("  %s\n", line.c_str());
         departures = clients.departures();
+        if (is_malformed(misbehaviour)) {
+            CHECK_FALSE(clients.answers().contains(429));
+            CHECK_FALSE(clients.answers().contains(503));
+        }
         UNSCOPED_INFO(rig.answers().text() << "; peak memory " << rig.peak_memory_bytes() / 1000
                                            << " KB; bad clients sent " << clients.bytes_sent() << " bytes");
         std::printf("%s; peak memory %zu KB; bad clients sent %llu bytes\n", rig.answers().text().c_str(),
