--- a/src/router/retry_budget.hpp
+++ b/src/router/retry_budget.hpp
@@ -18,14 +18,19 @@
 
     // Forgets arrivals and retries that have left the window.
     void begin_round(Nanos now) {
-        while (!arrived_at_.empty() && arrived_at_.front() <= now - window_ + margin_)
-            arrived_at_.pop_front();
+        while (!arrivals_.empty() && arrivals_.front().at <= now - window_ + margin_) {
+            arrival_count_ -= arrivals_.front().count;
+            arrivals_.pop_front();
+        }
         while (!retried_at_.empty() && retried_at_.front() < now - window_ - margin_) retried_at_.pop_front();
     }
 
     // A query or a shard request arrived.
     void record_arrival(Nanos now) {
-        if (is_enabled_) arrived_at_.push_back(now);
+        if (!is_enabled_) return;
+        if (arrivals_.empty() || arrivals_.back().at != now) arrivals_.push_back({now});
+        ++arrivals_.back().count;
+        ++arrival_count_;
     }
     void record_retry(Nanos now) {
         if (is_enabled_) retried_at_.push_back(now);
@@ -33,15 +38,23 @@
 
     // Whether one more retry is within the budget.
     bool allows_retry() const {
-        const double max_retries = base_ + ratio_ * static_cast<double>(arrived_at_.size());
+        const double max_retries = base_ + ratio_ * static_cast<double>(arrival_count_);
         return !is_enabled_ || retried_at_.size() + 1.0 <= max_retries;
     }
 
   private:
+    // The arrivals of one round. Their number depends on clients, that of rounds in a window does not.
+    struct Arrivals {
+        Nanos at = 0;
+        std::size_t count = 0;
+    };
+
     bool is_enabled_;
     double base_, ratio_;
     Nanos window_, margin_;
-    std::deque<Nanos> arrived_at_, retried_at_;
+    std::deque<Arrivals> arrivals_;
+    std::size_t arrival_count_ = 0;  // sum over `arrivals_`
+    std::deque<Nanos> retried_at_;
 };
 
 }  // namespace tealcart::router
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -5,6 +5,7 @@
 #include <map>
 
 #include "helpers.hpp"
+#include "router/retry_budget.hpp"
 
 using namespace tealcart;
 using namespace tealcart::test;
@@ -534,3 +535,20 @@
     REQUIRE(later.size() == 1);
     CHECK(later[0].id == attempts[0].id);
 }
+
+TEST_CASE("the retry budget's memory does not grow with the number of arrivals in a round") {
+    RouterConfig config = small_config();
+    config.retry_budget_enabled = true;
+    config.retry_budget_base = 0;
+    config.retry_budget_ratio = 1e-5;
+    config.retry_budget_window = 1000 * ms;
+    router::RetryBudget budget(config);
+    budget.record_arrival(0);
+    const std::size_t before = test::allocated_bytes();
+    for (int i = 1; i < 100'000; ++i) budget.record_arrival(0);
+    CHECK(test::allocated_bytes() == before);
+    CHECK(budget.allows_retry());
+    budget.record_arrival(500 * ms);
+    budget.begin_round(1000 * ms);
+    CHECK_FALSE(budget.allows_retry());
+}
