HTTP parser: a chunk's line or a trailer that does not end is malformed

What callers would see: memory that grows without end from one connection, for 2.75 s at full speed, and a turn that scans it all again. Cause: Beast bounds the head and the body, but neither the extension of a chunk nor the trailer; what it does not consume stays in our buffer. Found by the search for further buffers that clients can grow. Answers of discovery, relays and fleet managers went through the same parser. Change: what a parser leaves over is bounded like a head, 8 KiB; beyond it the message is malformed (431). A chunked body's buffer grows to the limit of bodies at most.

--- a/src/testing/bad_clients.cpp
+++ b/src/testing/bad_clients.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::size_t body_bytes = 65'000, large_text_bytes = 60'000;
 constexpr std::size_t slow_piece_bytes = 1'500, field_piece_bytes = 300;
+constexpr std::size_t endless_bytes = 20'000'000;
 constexpr std::size_t queries_at_once = 400;  // of a client that leaves
 constexpr std::size_t unsound_requests_at_once = 200;
 constexpr Ms piece_interval{60}, reconnect_pause{20}, poll_interval{5}, stay{100};
@@ -49,6 +50,7 @@
         case Misbehaviour::stops_in_body:
         case Misbehaviour::writes_slowly:
         case Misbehaviour::sends_many_fields:
+        case Misbehaviour::sends_endless_trailers:
         case Misbehaviour::sends_nested_bodies:
         case Misbehaviour::sends_unsound_requests:
             return true;
@@ -140,6 +142,11 @@
             client.outgoing = "POST /search HTTP/1.1\r\nHost: x\r\n" + fields;
             while (client.outgoing.size() < 8'100) client.outgoing += "a:\r\n";
             return;
+        case Misbehaviour::sends_endless_trailers:
+            client.outgoing =
+                "POST /search HTTP/1.1\r\nHost: x\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+            while (client.outgoing.size() < endless_bytes) client.outgoing += "a: b\r\n";
+            return;
         case Misbehaviour::reads_no_answers:
             for (int i = 0; i < 4; ++i) client.outgoing += valid_query(client, large_text_bytes);
             return;
--- a/src/testing/bad_clients.hpp
+++ b/src/testing/bad_clients.hpp
@@ -22,6 +22,7 @@
     writes_slowly,           // sends a large request in small pieces
     sends_many_fields,       // sends a head of very many short fields, without its end
     reads_no_answers,        // sends large valid queries and reads nothing
+    sends_endless_trailers,  // sends a chunked body whose trailer never ends
     sends_nested_bodies,     // sends bodies of nested brackets without waiting for answers
     sends_unsound_requests,  // sends small malformed requests, each under a new name, without waiting
     asks_for_large_values,   // sends a valid query with a large text, and leaves soon after
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -21,7 +21,7 @@
 template <bool is_request>
 class MessageParser : public http::basic_parser<is_request> {
   public:
-    explicit MessageParser(std::size_t max_size) {
+    explicit MessageParser(std::size_t max_size) : max_size_(max_size) {
         this->eager(true);
         this->header_limit(max_head_bytes);
         this->body_limit(max_size);
@@ -36,7 +36,10 @@
             if (n == 0) break;
         }
         in.erase(0, consumed);
-        if (ec && ec != http::error::need_more) {
+        if (ec == http::error::need_more) ec = {};
+        // What the parser leaves is a line of a chunk, or a trailer, which it does not bound.
+        if (!ec && !this->is_done() && in.size() > max_head_bytes) ec = http::error::header_limit;
+        if (ec) {
             error = ec;
             return ParseStatus::malformed;
         }
@@ -90,10 +93,11 @@
         const std::size_t needed = body.size() + bytes;
         if (needed <= body.capacity()) return;
         const std::size_t wanted = std::max(needed, growth * body.capacity());
-        const bool is_stated = stated_length >= needed;
-        body.reserve(is_stated ? std::min<std::size_t>(wanted, stated_length) : wanted);
+        const std::size_t longest = stated_length >= needed ? stated_length : max_size_;
+        body.reserve(std::min(wanted, std::max(needed, longest)));
     }
 
+    const std::size_t max_size_;
     bool has_coding_ = false, has_length_ = false;  // a header stated the body's coding or length
 };
 
--- a/tests/client_load_test.cpp
+++ b/tests/client_load_test.cpp
@@ -83,6 +83,13 @@
     router.check_answers();
 }
 
+TEST_CASE("clients that send trailers without end keep the process within its memory, and others in time") {
+    LoadedRouter router;
+    router.run(Misbehaviour::sends_endless_trailers, 12);
+    router.check_memory();
+    router.check_answers();
+}
+
 TEST_CASE("hundreds of clients that read no answers keep the process within its memory") {
     LoadedRouter router;
     router.run(Misbehaviour::reads_no_answers, crowd);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -131,6 +131,21 @@
         CHECK_FALSE(is_utf8(bad));
 }
 
+TEST_CASE("a chunk's line or a trailer that does not end is malformed") {
+    const std::string head = "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string start = GENERATE("5;extension=", "5\r\nabcde\r\n0\r\nName: ", "0\r\n");
+    const std::string piece = GENERATE("a", "a: b\r\n", "a;b=c;");
+    RequestReader reader;
+    std::string in = head + start;
+    ParseStatus status = reader.feed(in);
+    for (std::size_t sent = 0; status == ParseStatus::incomplete; sent += piece.size()) {
+        REQUIRE(sent < 2 * max_head_bytes);
+        in += piece;
+        status = reader.feed(in);
+    }
+    CHECK(status == ParseStatus::malformed);
+}
+
 TEST_CASE("a query body may be nested up to a limit, and brackets in its strings don't count") {
     const auto nested = [](std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); };
     const auto query = [](const std::string& member) {
