Tests: clients in the backlog while every connection has a query in hand; known to fail

What callers would see: answers up to 3 s late, where more clients than connections send valid queries and data nodes are silent. Cause: a connection with a query in hand is never evicted, so further clients wait unheard in the backlog. The soak tells late answers of the router from those that it read late itself.

--- a/src/testing/client_load_rig.cpp
+++ b/src/testing/client_load_rig.cpp
@@ -119,7 +119,9 @@
     const TimePoint end = now() + within;
     while (!holds()) {
         if (now() > end) return false;
+        const TimePoint before = now();
         io_.run_one_for(poll_interval);
+        worst_pause_ = std::max(worst_pause_, span(before, now()));
         if (router_ != nullptr && now() >= sample_memory_at_) sample_memory();
     }
     return true;
--- a/src/testing/client_load_rig.hpp
+++ b/src/testing/client_load_rig.hpp
@@ -70,6 +70,8 @@
     // Sends no further queries and waits until each one has its answer or is late.
     void finish_queries();
     AnswerCounts answers() const;
+    // The longest time for which this process did not come to serve its clients and data nodes.
+    std::chrono::milliseconds worst_pause() const { return worst_pause_; }
     // Describes the queries that were answered late or never, one line each.
     std::vector<std::string> late_queries() const;
 
@@ -113,6 +115,7 @@
     std::unique_ptr<Process> router_;
     boost::asio::steady_timer query_timer_;
     std::size_t peak_memory_bytes_ = 0;
+    std::chrono::milliseconds worst_pause_{0};
     TimePoint sample_memory_at_;
     bool opens_connections_ = true;
     bool sends_queries_ = false, nodes_are_silent_ = false, nodes_hang_ = false;
--- a/tests/client_load_test.cpp
+++ b/tests/client_load_test.cpp
@@ -106,6 +106,27 @@
     router.check_answers();
 }
 
+TEST_CASE("clients that read no answers on every connection make no other client wait for a connection") {
+    ClientLoadOptions options;
+    options.memory_mb = 192;  // so that none of them is given up for memory
+    options.sockets = 256;
+    LoadedRouter router(options);
+    router.run(Misbehaviour::reads_no_answers, 600);
+    router.check_memory();
+    router.check_answers();
+}
+
+TEST_CASE("queries that wait for silent data nodes on every connection make no other client wait for one") {
+    ClientLoadOptions options;
+    options.memory_mb = 192;  // so that none of them is refused for memory
+    options.sockets = 256;
+    LoadedRouter router(options);
+    router.rig.silence_nodes(true);
+    router.run(Misbehaviour::reads_no_answers, 600);
+    CHECK(router.rig.answers().late == 0);
+    router.check_memory();
+}
+
 TEST_CASE("large texts of clients that leave while data nodes are silent stay within the memory") {
     LoadedRouter router;
     router.rig.silence_nodes(true);
--- a/tests/client_soak_test.cpp
+++ b/tests/client_soak_test.cpp
@@ -54,7 +54,8 @@
         std::printf("soak seed %d: memory_mb %d, sockets %d; %s; peak memory %zu KB; %s\n", seed,
                     options_.memory_mb, options_.sockets, answers.text().c_str(),
                     rig_.peak_memory_bytes() / 1000, events_.c_str());
-        CAPTURE(seed, events_);
+        if (answers.late > 0) print_long_turns();
+        CAPTURE(seed, events_, rig_.worst_pause().count());
         CHECK_FALSE(rig_.router().ended());
         CHECK(unexpected_ends_ == 0);
         CHECK(rig_.peak_memory_bytes() < rig_.memory_limit_bytes());
@@ -67,6 +68,17 @@
     }
 
   private:
+    // Tells late answers of the router from those that this process read late.
+    void print_long_turns() const {
+        std::printf("  the test did not come to its clients for %lld ms\n",
+                    static_cast<long long>(rig_.worst_pause().count()));
+        for (const EventLog::Event& event : rig_.event_log.events)
+            if (event.message.find("the event loop was busy") != event.message.npos)
+                std::printf("  at %lld ms the router: %s\n",
+                            static_cast<long long>(
+                                std::chrono::duration_cast<Ms>(event.at - rig_.event_log.started_at).count()),
+                            event.message.c_str());
+    }
     std::size_t below(std::size_t n) { return static_cast<std::size_t>(random_() % n); }
     bool one_in(std::size_t n) { return below(n) == 0; }
     // Milliseconds since the start, for the list of events.
