HTTP server: clients that wait for a connection get one, or an answer at once

Change: a connection is idle only 50 ms after it was made; a client that takes no byte of its response for 100 ms can be evicted; while seven in eight connections await their response, valid queries get 503; large queued requests get 504 once clients have waited for 100 ms. Log lines count all of it. The case on evictions lets 50 ms pass first, since its silent client is protected until then; a new case checks that protection.

--- a/src/service/load_report.cpp
+++ b/src/service/load_report.cpp
@@ -43,28 +43,26 @@
     const RefusalCounters& refusals = dispatcher_.refusals();
     if (tells_trouble(server, reported_server_))
         log_line(
-            "clients: %zu connections open, %llu accepted, %llu evicted; given up for memory: %llu "
-            "incomplete "
-            "requests, %llu responses; in time neither complete %llu, read %llu nor served %llu; %llu "
-            "malformed; "
-            "%llu with requests sent ahead dropped; buffers hold %zu of %zu bytes, at most %zu since the "
-            "last line",
+            "clients: %zu connections open, %llu accepted, %llu evicted, of these %llu with an unread "
+            "response; given up for memory: %llu incomplete requests, %llu responses; in time neither "
+            "complete %llu, read %llu nor served %llu; %llu large requests refused for waiting clients; %llu "
+            "malformed; %llu with requests sent ahead dropped; buffers hold %zu of %zu bytes, at most %zu "
+            "since the last line",
             server_.open(), printable(server.accepted), printable(server.evicted),
-            printable(server.incomplete_dropped), printable(server.unread_dropped),
-            printable(server.incomplete), printable(server.unread), printable(server.expired),
-            printable(server.malformed), printable(server.read_ahead_dropped), server_.memory().used(),
-            server_.memory().limit(), server_.memory().take_peak());
+            printable(server.unread_evicted), printable(server.incomplete_dropped),
+            printable(server.unread_dropped), printable(server.incomplete), printable(server.unread),
+            printable(server.expired), printable(server.shed), printable(server.malformed),
+            printable(server.read_ahead_dropped), server_.memory().used(), server_.memory().limit(),
+            server_.memory().take_peak());
     if (tells_trouble(refusals, reported_refusals_))
         log_line(
             "queries: %zu and shard requests in progress; refused: %llu invalid, %llu with an id in use, "
-            "%llu over "
-            "the limit, %llu without memory, %llu cut off; %llu clients left; queries hold %zu of %zu bytes, "
-            "at "
-            "most %zu since the last line",
+            "%llu over the limit, %llu without memory, %llu without a connection, %llu cut off; %llu clients "
+            "left; queries hold %zu of %zu bytes, at most %zu since the last line",
             dispatcher_.unfinished_count(), printable(refusals.invalid), printable(refusals.id_in_use),
-            printable(refusals.too_many), printable(refusals.no_memory), printable(refusals.cut_off),
-            printable(refusals.clients_left), dispatcher_.memory().used(), dispatcher_.memory().limit(),
-            dispatcher_.memory().take_peak());
+            printable(refusals.too_many), printable(refusals.no_memory), printable(refusals.crowded),
+            printable(refusals.cut_off), printable(refusals.clients_left), dispatcher_.memory().used(),
+            dispatcher_.memory().limit(), dispatcher_.memory().take_peak());
     reported_server_ = server;
     reported_refusals_ = refusals;
 }
--- a/src/service/query_dispatcher.cpp
+++ b/src/service/query_dispatcher.cpp
@@ -74,6 +74,8 @@
         return refuse(refusals_.too_many, unavailable, "too many queries in hand");
     if (!queries_.has_memory_for(body.text.size(), body.shard_requests.size()))
         return refuse(refusals_.no_memory, unavailable, "no memory for a further query");
+    if (writer_->is_crowded())
+        return refuse(refusals_.crowded, unavailable, "no connection for a further query");
     if (!serving_state_.admits) return refuse(refusals_.cut_off, unavailable, "cut off from the fleet");
     return std::nullopt;
 }
--- a/src/service/query_dispatcher.hpp
+++ b/src/service/query_dispatcher.hpp
@@ -31,6 +31,7 @@
     std::uint64_t id_in_use = 0;     // status 409
     std::uint64_t too_many = 0;      // status 503: limits.most_held
     std::uint64_t no_memory = 0;     // status 503: the memory of queries
+    std::uint64_t crowded = 0;       // status 503: the connections of clients
     std::uint64_t cut_off = 0;       // status 503: cut off from the fleet
     std::uint64_t invalid = 0;       // status 4xx: not a query
     std::uint64_t clients_left = 0;  // the client disconnected before its response
--- a/src/wire/connection_eviction.hpp
+++ b/src/wire/connection_eviction.hpp
@@ -9,12 +9,13 @@
 namespace tealcart {
 
 // Returns up to `count` of the least valuable connections, to make room for waiting clients: first lingering
-// connections, then idle ones, then those with an incomplete request, and the oldest of each kind first. A
-// connection with unread bytes or a complete request is never chosen.
-std::vector<Handle> choose_for_room(const SlotMap<HttpConnection>& connections, std::size_t count);
+// connections, then idle ones, then those with an incomplete request, then those whose client has stopped
+// reading its response, and the oldest of each kind first. No other connection with unread bytes or a
+// complete request is chosen, and none whose client has only just connected.
+std::vector<Handle> choose_for_room(const SlotMap<HttpConnection>& connections, std::size_t count, Nanos now);
 
-// Returns whether the connection still has no unread bytes and no complete request.
-bool may_be_evicted(const HttpConnection& connection);
+// Returns whether the connection may still be chosen.
+bool may_be_evicted(const HttpConnection& connection, Nanos now);
 
 // Returns the connection whose client keeps the most memory in use for the longest time without progress: in
 // an incomplete request that is charged, or a response that the client does not read. Never returns `except`.
--- a/src/wire/http_connection.hpp
+++ b/src/wire/http_connection.hpp
@@ -35,6 +35,8 @@
     bool has_request() const {
         return state == State::queued || state == State::waiting || state == State::writing;
     }
+    // Returns whether a request was passed on whose response its client has not received.
+    bool awaits_response() const { return state == State::waiting || state == State::writing; }
     // Frees the buffers of requests, of what was received behind one, and of the response.
     void drop_requests() {
         drop_unread();
@@ -63,7 +65,7 @@
     std::size_t discarded = 0;     // bytes received while lingering
     std::size_t dropped = 0;       // bytes received behind the current request that were not kept
     Nanos idle_since = 0;
-    Nanos progress_at = 0;  // bytes of a request were received, or the response began to be written
+    Nanos progress_at = 0;  // it was accepted, bytes of a request were received, or of the response written
     Nanos request_began = 0;
     Nanos next_request_began = 0;  // while one is in progress; 0 if no byte of a next one has arrived
     TimerQueue::TimerId timer = TimerQueue::none;       // the timeout of the current state
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -23,10 +23,17 @@
 constexpr Nanos request_timeout = 2750 * millisecond;
 constexpr Nanos linger_timeout = 1000 * millisecond;     // for the client to read its last response
 constexpr Nanos accept_retry_pause = 100 * millisecond;  // after a failed accept
+constexpr Nanos full_retry_pause = 20 * millisecond;     // while no connection can be evicted
 constexpr Nanos memory_retry_pause = 5 * millisecond;    // before a connection without memory is read again
 constexpr Nanos min_queue_time = millisecond;            // for a request whose time was over when it was read
 // Bytes of further requests while one is in progress.
 constexpr std::size_t max_unread = max_head_bytes + max_body_bytes;
+// Large requests are refused for clients that have waited for a connection for this long.
+constexpr Nanos max_accept_delay = 100 * millisecond;
+constexpr std::size_t max_shed_per_turn = 8;
+// One in this many connections stays free of clients that await their response.
+constexpr std::size_t spare_share = 8;
+constexpr std::size_t max_written_at_once = 64UL * 1024;
 // Work in one turn of the event loop.
 constexpr std::size_t max_received_per_turn = 256UL * 1024;  // by one connection
 constexpr std::size_t max_accepts_per_turn = 64;
@@ -76,22 +83,20 @@
     });
 }
 
-// If the connection limit is reached and no connection can be evicted, clients wait in the backlog until one
-// is released.
 void HttpServer::on_acceptable() {
     std::vector<Handle> evictable;
     if (connections_.size() + max_accepts_per_turn > limits_.connections)
-        evictable = choose_for_room(connections_, max_accepts_per_turn);
+        evictable = choose_for_room(connections_, max_accepts_per_turn, clock_.now());
     auto next = evictable.begin();
     // Bytes may have arrived since they were chosen.
     const auto is_kept = [this](Handle handle) {
         const Connection* connection = connections_.find(handle);
-        return connection == nullptr || !may_be_evicted(*connection);
+        return connection == nullptr || !may_be_evicted(*connection, clock_.now());
     };
     for (std::size_t accepted = 0; accepted < max_accepts_per_turn; ++accepted) {
         const bool is_full = connections_.size() >= limits_.connections;
         if (is_full) next = std::find_if_not(next, evictable.end(), is_kept);
-        if (is_full && next == evictable.end()) return accept_later(accept_retry_pause);
+        if (is_full && next == evictable.end()) return accepted > 0 ? accept_later(0) : on_full();
         tcp::socket socket(io_);
         error_code failure;
         acceptor_.accept(socket, failure);
@@ -108,6 +113,16 @@
     accept_later(0);
 }
 
+// A client waits in the backlog until a connection is released or can be evicted. Large requests that hold
+// connections while they wait for their turn are refused in the end.
+void HttpServer::on_full() {
+    const Nanos now = clock_.now();
+    if (now - last_full_at_ > max_accept_delay) full_since_ = now;
+    last_full_at_ = now;
+    const bool has_shed = now - full_since_ >= max_accept_delay && shed_queued();
+    accept_later(has_shed ? 0 : full_retry_pause);
+}
+
 void HttpServer::accept_later(Nanos pause) {
     clock_.timers.reschedule(accept_timer_, clock_.now() + pause, *this, {}, Timer::accept_timer);
 }
@@ -117,20 +132,23 @@
     socket.set_option(tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
     const Handle handle = connections_.emplace(std::move(socket), limits_.request_body, memory_);
-    connections_.find(handle)->idle_since = clock_.earliest_arrival();  // it may have waited in the backlog
+    Connection& connection = *connections_.find(handle);
+    connection.idle_since = clock_.earliest_arrival();  // it may have waited in the backlog
+    connection.progress_at = clock_.now();
     ++counters_.accepted;
     await_request(handle);
     await_bytes(handle);
 }
 
 void HttpServer::evict_one() {
-    for (const Handle handle : choose_for_room(connections_, 1)) evict(handle);
+    for (const Handle handle : choose_for_room(connections_, 1, clock_.now())) evict(handle);
 }
 
 // Guards against clients that open hundreds of connections and send little or nothing: other clients then
 // need not wait for the timeouts of these connections.
 void HttpServer::evict(Handle handle) {
     ++counters_.evicted;
+    counters_.unread_evicted += connections_.find(handle)->state == State::writing;
     close(handle);
 }
 
@@ -275,7 +293,7 @@
     }
     connection.update_charge();
     if (status != ParseStatus::incomplete) {
-        connection.state = State::queued;
+        set_state(connection, State::queued);
         connection.malformed = status == ParseStatus::malformed;
         connection.is_last = connection.malformed || !connection.reader.request().keep_alive;
         connection.dropped = 0;
@@ -334,7 +352,7 @@
 void HttpServer::serve(Handle handle) {
     Connection& connection = *connections_.find(handle);
     clock_.timers.cancel(connection.timer);
-    connection.state = State::waiting;
+    set_state(connection, State::waiting);
     if (connection.malformed) {
         ++counters_.malformed;
         return reject(handle, connection.reader.error_status());
@@ -344,6 +362,28 @@
     connection.update_charge();
 }
 
+void HttpServer::set_state(Connection& connection, State state) {
+    awaiting_response_ -= connection.awaits_response();
+    connection.state = state;
+    awaiting_response_ += connection.awaits_response();
+}
+
+// The client that asks is counted already.
+bool HttpServer::is_crowded() const {
+    return awaiting_response_ > limits_.connections - limits_.connections / spare_share;
+}
+
+// Refuses the largest requests that wait for their turn. Returns false if there are none.
+bool HttpServer::shed_queued() {
+    const std::vector<Handle> largest = queue_.take_largest(max_shed_per_turn);
+    for (const Handle handle : largest) {
+        connections_.find(handle)->in_queue = false;
+        ++counters_.shed;
+        reject(handle, gateway_timeout);
+    }
+    return !largest.empty();
+}
+
 // Makes sure that this many bytes fit into the budget, at the expense of clients that make no progress.
 // Returns false if there is no such client.
 bool HttpServer::make_room(Handle handle, std::size_t bytes) {
@@ -367,7 +407,7 @@
 // Answers a request that is not passed on, and ends the connection.
 void HttpServer::reject(Handle handle, int status) {
     Connection& connection = *connections_.find(handle);
-    connection.state = State::waiting;
+    set_state(connection, State::waiting);
     connection.is_last = true;
     connection.drop_requests();
     answer(handle, {status, {}, 0});
@@ -376,7 +416,7 @@
 void HttpServer::answer(Handle handle, Response answer) {
     Connection* connection = connections_.find(handle);
     if (connection == nullptr || connection->state != State::waiting) return;
-    connection->state = State::writing;
+    set_state(*connection, State::writing);
     connection->is_last |= stopping_;
     connection->body = std::move(answer.body);
     connection->head =
@@ -396,8 +436,12 @@
     const std::array<boost::asio::const_buffer, 2> buffers =
         connection.writes_continue ? std::array{buffer_of(continue_response), buffer_of({})}
                                    : std::array{buffer_of(connection.head), buffer_of(connection.body)};
+    const auto note_progress = [this, handle](const error_code& failure, std::size_t) {
+        connections_.find(handle)->progress_at = clock_.now();
+        return failure ? 0 : max_written_at_once;
+    };
     boost::asio::async_write(
-        connection.socket, buffers,
+        connection.socket, buffers, note_progress,
         [this, handle](const error_code& failure, std::size_t) { on_written(handle, failure); });
 }
 
@@ -422,7 +466,7 @@
     connection.update_charge();
     if (connection.peer_ended) return close(handle);
     if (connection.is_last) return half_close(handle);
-    connection.state = State::reading;
+    set_state(connection, State::reading);
     connection.served = true;
     connection.idle_since = clock_.now();
     await_request(handle);
@@ -439,7 +483,7 @@
     error_code failure;
     connection.socket.shutdown(tcp::socket::shutdown_send, failure);
     if (failure) return close(handle);
-    connection.state = State::lingering;
+    set_state(connection, State::lingering);
     connection.drop_requests();
     connection.update_charge();
     clock_.timers.reschedule(connection.timer, clock_.now() + linger_timeout, *this, handle);
@@ -516,7 +560,7 @@
     Connection* connection = connections_.find(handle);
     if (connection == nullptr || connection->state == State::closed) return;
     if (connection->in_queue) queue_.remove(handle);
-    connection->state = State::closed;
+    set_state(*connection, State::closed);
     clock_.timers.cancel(connection->timer);
     clock_.timers.cancel(connection->turn_timer);
     connection->drop_requests();
--- a/src/wire/http_server.hpp
+++ b/src/wire/http_server.hpp
@@ -43,6 +43,9 @@
     virtual ~ResponseWriter() = default;
     // Does nothing if the client has disconnected.
     virtual void answer(Handle client, Response answer) = 0;
+    // Returns whether so many clients await their response that a further query is to be refused: the
+    // connections that are left serve clients that would wait for one otherwise.
+    virtual bool is_crowded() const { return false; }
 };
 
 // The limits of an HttpServer.
@@ -60,11 +63,13 @@
 struct HttpServerCounters {
     std::uint64_t accepted = 0;
     std::uint64_t evicted = 0;             // connections closed for a waiting client
+    std::uint64_t unread_evicted = 0;      // of these, with a response that was not read
     std::uint64_t incomplete_dropped = 0;  // incomplete requests given up for memory, with status 408
     std::uint64_t unread_dropped = 0;      // responses given up for memory
     std::uint64_t incomplete = 0;          // requests that were not complete in time: status 408
     std::uint64_t unread = 0;              // responses that were not read in time
     std::uint64_t expired = 0;             // requests whose turn did not come in time: status 504
+    std::uint64_t shed = 0;                // large requests refused for waiting clients: status 504
     std::uint64_t read_ahead_dropped = 0;  // connections on which further requests were discarded
     std::uint64_t malformed = 0;           // heads and bodies that are not HTTP
 
@@ -87,6 +92,7 @@
     std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
     void answer(Handle handle, Response answer) override;
+    bool is_crowded() const override;
 
     // From now on each response closes its connection. Half-closes the idle connections.
     void begin_stop();
@@ -113,6 +119,7 @@
     // Accepting.
     void accept();
     void on_acceptable();
+    void on_full();
     void accept_later(Nanos pause);
     void add_connection(boost::asio::ip::tcp::socket socket);
     void evict_one();
@@ -137,6 +144,9 @@
     bool is_query(Connection& connection) const;
     void serve_queued();
     void serve(Handle handle);
+    bool shed_queued();
+
+    void set_state(Connection& connection, State state);
 
     // Memory.
     bool make_room(Handle handle, std::size_t bytes);
@@ -161,10 +171,12 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     MemoryBudget memory_;
     SlotMap<Connection> connections_;
+    std::size_t awaiting_response_ = 0;  // number of connections
     RequestQueue queue_;
     HttpServerCounters counters_;
     std::array<char, 16384> received_;  // by the read in progress
     bool accept_pending_ = false, stopping_ = false;
+    Nanos full_since_ = 0, last_full_at_ = 0;  // clients have waited for a connection in between
     TimerQueue::TimerId accept_timer_ = TimerQueue::none, queue_timer_ = TimerQueue::none;
 };
 
--- a/src/wire/request_queue.cpp
+++ b/src/wire/request_queue.cpp
@@ -1,6 +1,7 @@
 #include "wire/request_queue.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace tealcart {
 
@@ -22,6 +23,16 @@
     return taken;
 }
 
+std::vector<Handle> RequestQueue::take_largest(std::size_t count) {
+    std::vector<Handle> taken;
+    while (taken.size() < count && !large_.empty()) {
+        const auto largest = std::prev(large_.end());
+        taken.push_back(largest->handle);
+        large_.erase(largest);
+    }
+    return taken;
+}
+
 void RequestQueue::take(Entries& from, std::vector<Handle>& to) {
     std::size_t bytes = 0;
     while (!from.empty()) {
--- a/src/wire/request_queue.hpp
+++ b/src/wire/request_queue.hpp
@@ -23,6 +23,8 @@
     void remove(Handle handle);
     // Removes the requests to serve in this turn, and returns them.
     std::vector<Handle> take_turn();
+    // Removes up to `count` of the large requests, the largest first, and returns them.
+    std::vector<Handle> take_largest(std::size_t count);
     bool empty() const { return small_.empty() && large_.empty(); }
     std::size_t size() const { return small_.size() + large_.size(); }
 
