--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -74,6 +74,16 @@
     for (int turn = 0; turn < 200; ++turn) rig.poll();
 }
 
+// Connects a client that has sent a request for "/held" and does not read yet.
+std::shared_ptr<TestConnection> hold_without_reading(HttpServerRig& rig) {
+    boost::asio::ip::tcp::socket socket(rig.io);
+    socket.connect({boost::asio::ip::address_v4::loopback(), rig.server.port()});
+    auto client = std::make_shared<TestConnection>(std::move(socket), TestConnection::OnChange());
+    client->send("GET /held HTTP/1.1\r\n\r\n");
+    rig.run_until([&] { return rig.request_paths.size() == 1; });
+    return client;
+}
+
 }  // namespace
 
 TEST_CASE("a client that stalls in the middle of a request gets status 408 within 3 s of connecting") {
@@ -190,11 +200,7 @@
 
 TEST_CASE("a client that has stopped reading its response is evicted for a waiting client") {
     HttpServerRig rig(1);
-    boost::asio::ip::tcp::socket socket(rig.io);
-    socket.connect({boost::asio::ip::address_v4::loopback(), rig.server.port()});
-    const auto silent = std::make_shared<TestConnection>(std::move(socket), TestConnection::OnChange());
-    silent->send("GET /held HTTP/1.1\r\n\r\n");
-    rig.run_until([&] { return rig.request_paths.size() == 1; });
+    const auto silent = hold_without_reading(rig);
     rig.server.answer(rig.last_client, {200, std::string(16'000'000, 'a')});  // more than the system buffers
     settle(rig);
     const auto waiting = rig.client(get_request);
@@ -289,12 +295,7 @@
     "a client that reads its last response late gets all of it although the server has closed the "
     "connection") {
     HttpServerRig rig(5);
-    boost::asio::ip::tcp::socket socket(rig.io);
-    socket.connect({boost::asio::ip::address_v4::loopback(), rig.server.port()});
-    // It does not read yet.
-    const auto client = std::make_shared<TestConnection>(std::move(socket), TestConnection::OnChange());
-    client->send("GET /held HTTP/1.1\r\n\r\n");
-    rig.run_until([&] { return rig.request_paths.size() == 1; });
+    const auto client = hold_without_reading(rig);
     rig.server.begin_stop();
     const std::string body(60'000, 'b');
     rig.server.answer(rig.last_client, {200, body});
@@ -395,11 +396,7 @@
 
 TEST_CASE("a response that its client does not read is given up when another needs its memory") {
     HttpServerRig rig(5, 6'000'000);
-    boost::asio::ip::tcp::socket socket(rig.io);
-    socket.connect({boost::asio::ip::address_v4::loopback(), rig.server.port()});
-    const auto silent = std::make_shared<TestConnection>(std::move(socket), TestConnection::OnChange());
-    silent->send("GET /held HTTP/1.1\r\n\r\n");
-    rig.run_until([&] { return rig.request_paths.size() == 1; });
+    const auto silent = hold_without_reading(rig);
     rig.server.answer(rig.last_client, {200, std::string(16'000'000, 'a')});  // more than the system buffers
     settle(rig);
     const auto reader = rig.client("GET /held HTTP/1.1\r\n\r\n");
