--- a/review/kit2.py
+++ b/review/kit2.py
@@ -534,9 +534,11 @@
         self.processes = [self.serve(i) for i in range(3)]
         wait_for("a leader", self.leader)
 
+    def serve_command(self, i):
+        return [self.program, "serve", "--file", self.file, "--id", str(i + 1), "--config", self.configs[i]]
+
     def serve(self, i):
-        return self.case.start(f"fleet-manager-{i + 1}", [self.program, "serve", "--file", self.file, "--id",
-                                                          str(i + 1), "--config", self.configs[i]])
+        return self.case.start(f"fleet-manager-{i + 1}", self.serve_command(i))
 
     def restart(self):
         for i, process in enumerate(self.processes):
