review: the stand-ins take ports below the outgoing range; the builds are apart

The case of the control service needs libraries that the others do not, so it has a build folder of its own and the others run without it. What no case uses any more is taken out of kit2.py.

--- a/review/kit2.py
+++ b/review/kit2.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -19,7 +20,8 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 ROUTER = os.path.join(ROOT, "build", "tealcart")  # left by the build of the deploy file
-PROGRAMS = os.path.join(ROOT, "build-review-2")  # left by review/build-2.sh
+PROGRAMS = os.path.join(ROOT, "build-review-2")  # left by review/build-2.sh, as are
+XDS_PROGRAMS = os.path.join(ROOT, "build-review-2-xds")
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 RUN_LIMIT = 115  # seconds
 
@@ -144,20 +146,30 @@
     raise CouldNotRun(f"{what} did not come about within {seconds} s")
 
 
+_given_ports = set()
+
+
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Ports that nobody listens at, below the range from which the system takes those of outgoing connections."""
+    ports = []
+    for port in random.sample(range(15000, 30000), 1000):
+        if len(ports) == count:
+            break
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _given_ports:
+            _given_ports.add(port)
+            ports.append(port)
     return ports
 
 
-def listen(port=0):
+def listen(port=None):
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind(("127.0.0.1", port))
+    listener.bind(("127.0.0.1", port or free_ports(1)[0]))
     listener.listen(256)
     return listener
 
@@ -182,24 +194,20 @@
 
 
 class Part:
-    """A part that a data node received: when, of which query, and where its frame began on which connection."""
+    """A part that a data node received."""
 
-    def __init__(self, at, query_id, shard, router_port, offset):
+    def __init__(self, at, query_id, shard):
         self.at, self.query_id, self.shard = at, query_id, shard
-        self.router_port, self.offset = router_port, offset  # the connection, and bytes on it before the frame
 
 
 class DataNode:
-    """A data node: answers every part with a value after `delay` seconds. A hung one reads nothing."""
+    """A data node: answers every part with a value after `delay` seconds."""
 
     def __init__(self, case, name, delay=0.0):
         self.case, self.name, self.delay = case, name, delay
         self.listener = listen()
         self.port = self.listener.getsockname()[1]
         self.parts = []
-        self.bytes_read = {}  # by the router's port
-        self.reads = threading.Event()
-        self.reads.set()
         self.sockets = []
         self.lock = threading.Lock()
         case.closers.append(self.close)
@@ -233,14 +241,12 @@
                 self.sockets.append(connection)
             in_thread(self.serve, connection)
 
-    def read(self, connection, router_port, size):
+    def read(self, connection, size):
         data = bytearray()
         while len(data) < size:
-            self.reads.wait()
             chunk = connection.recv(min(65536, size - len(data)))
             if not chunk:
                 raise OSError("closed")
-            self.bytes_read[router_port] += len(chunk)
             data += chunk
         return bytes(data)
 
@@ -260,12 +266,9 @@
                 pass
 
         try:
-            router_port = connection.getpeername()[1]
-            self.bytes_read[router_port] = 0
             while True:
-                offset = self.bytes_read[router_port]
-                (length,) = struct.unpack("<I", self.read(connection, router_port, 4))
-                frame = self.read(connection, router_port, length)
+                (length,) = struct.unpack("<I", self.read(connection, 4))
+                frame = self.read(connection, length)
                 if frame[:1] in b"GT":
                     send(frame[:1], b"OK" if frame[:1] == b"G" else b"-")
                 if frame[:1] != b"R":
@@ -277,8 +280,7 @@
                     part, shard, text = words[0], words[1], int(words[3])
                     rest = rest[text:]
                     with self.lock:
-                        self.parts.append(Part(self.case.now(), part.rsplit(".", 1)[0], int(shard), router_port,
-                                               offset))
+                        self.parts.append(Part(self.case.now(), part.rsplit(".", 1)[0], int(shard)))
                     self.case.record(f"{self.name} received part {part}, {words[2]}")
                     in_thread(answer, part, shard)
         except (OSError, ValueError):
@@ -459,14 +461,14 @@
             "cell": place, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0}
 
 
-def settings(places, width, ranges, parts_a_call=4, streams=100, most_held=400, step=5.0):
+def settings(places, width, ranges):
     """The settings of a small deployment; classes and times are those of examples/router.json."""
     return {
-        "balancers": 1, "discovery": "push", "step": step,
-        "extra": {"places": places, "ranges": ranges, "width": width, "parts_a_call": parts_a_call,
+        "balancers": 1, "discovery": "push", "step": 5.0,
+        "extra": {"places": places, "ranges": ranges, "width": width, "parts_a_call": 4,
                   "floor_by_class": [0.4, 1.0], "complete_from": [1.0, 1.0], "second_step": [0, 0]},
-        "limits": {"connect_timeout": 250.0, "idle_close": 30000.0, "streams_per_conn": streams,
-                   "most_held": most_held, "send_cap": 3, "may_cancel": True, "second_copies": True,
+        "limits": {"connect_timeout": 250.0, "idle_close": 30000.0, "streams_per_conn": 100,
+                   "most_held": 400, "send_cap": 3, "may_cancel": True, "second_copies": True,
                    "retry_after": True, "max_retry_after": 500.0},
         "safety": {"drain_grace": 1000.0, "cold_from": 0.2, "cold": 10000.0, "tip_multiple": 3.0, "fall": 2000.0},
         "services": [
